Name the store's contract key_value, so that platform is free for the adapter

The users' platform gets an adapter package dogwoodmast.platform; a module of that name holds the contract of the first design's key-value service. It is moved and nothing else changes.

--- a/src/dogwoodmast/audit.py
+++ b/src/dogwoodmast/audit.py
@@ -11,7 +11,7 @@
 import uuid6
 
 from dogwoodmast._documents import dump_document, load_document
-from dogwoodmast.platform import Delete, Platform, Put
+from dogwoodmast.key_value import Delete, Platform, Put
 
 AUDIT_PREFIX = '/dogwoodmast/audit/'
 """Prefix of the platform keys of audit entries."""
--- a/src/dogwoodmast/change_writer.py
+++ b/src/dogwoodmast/change_writer.py
@@ -13,7 +13,7 @@
     PlatformRefused,
     PlatformUnavailable,
 )
-from dogwoodmast.platform import (
+from dogwoodmast.key_value import (
     MISSING_REVISION,
     Delete,
     Expectation,
--- a/src/dogwoodmast/commands/_common.py
+++ b/src/dogwoodmast/commands/_common.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from dogwoodmast.platform import Platform
+    from dogwoodmast.key_value import Platform
 
 PLATFORM_VARIABLE = 'DOGWOODMAST_PLATFORM'
 """Environment variable with the default of ``--platform``."""
--- a/src/dogwoodmast/commands/_orders.py
+++ b/src/dogwoodmast/commands/_orders.py
@@ -23,7 +23,7 @@
     import argparse
 
     from dogwoodmast.configuration import Configuration
-    from dogwoodmast.platform import Platform
+    from dogwoodmast.key_value import Platform
 
 
 class NoConfiguration(ConfigurationError):
--- a/src/dogwoodmast/commands/audit.py
+++ b/src/dogwoodmast/commands/audit.py
@@ -20,7 +20,7 @@
 from dogwoodmast.exit_code import ExitCode
 
 if TYPE_CHECKING:
-    from dogwoodmast.platform import Platform
+    from dogwoodmast.key_value import Platform
 
 DEFAULT_LIMIT = 50
 """Entries that are shown at most."""
--- a/src/dogwoodmast/commands/config.py
+++ b/src/dogwoodmast/commands/config.py
@@ -33,7 +33,7 @@
 if TYPE_CHECKING:
     import argparse
 
-    from dogwoodmast.platform import Platform
+    from dogwoodmast.key_value import Platform
 
 
 def register(subparsers: Subparsers) -> None:
--- a/src/dogwoodmast/commands/drain.py
+++ b/src/dogwoodmast/commands/drain.py
@@ -25,7 +25,7 @@
 if TYPE_CHECKING:
     import argparse
 
-    from dogwoodmast.platform import Platform
+    from dogwoodmast.key_value import Platform
 
 
 @attrs.frozen
--- a/src/dogwoodmast/commands/questionnaire.py
+++ b/src/dogwoodmast/commands/questionnaire.py
@@ -36,7 +36,7 @@
     import argparse
 
     from dogwoodmast.configuration import Configuration
-    from dogwoodmast.platform import Platform
+    from dogwoodmast.key_value import Platform
 
 _FILE_NAME = 'questionnaire.toml'
 
--- a/src/dogwoodmast/commands/zone.py
+++ b/src/dogwoodmast/commands/zone.py
@@ -28,7 +28,7 @@
 if TYPE_CHECKING:
     import argparse
 
-    from dogwoodmast.platform import Platform
+    from dogwoodmast.key_value import Platform
 
 
 @attrs.define
--- a/src/dogwoodmast/configuration_store.py
+++ b/src/dogwoodmast/configuration_store.py
@@ -20,7 +20,7 @@
     ConfigurationConflict,
     ConfigurationError,
 )
-from dogwoodmast.platform import (
+from dogwoodmast.key_value import (
     MISSING_REVISION,
     Delete,
     Expectation,
@@ -29,7 +29,7 @@
 )
 
 if TYPE_CHECKING:
-    from dogwoodmast.platform import StoredValue
+    from dogwoodmast.key_value import StoredValue
 
 CONFIGURATION_PREFIX = '/dogwoodmast/configuration/'
 """Prefix of the platform keys of configurations."""
--- a/src/dogwoodmast/etcd.py
+++ b/src/dogwoodmast/etcd.py
@@ -15,7 +15,7 @@
     PlatformRefused,
     PlatformUnavailable,
 )
-from dogwoodmast.platform import (
+from dogwoodmast.key_value import (
     Change,
     Delete,
     Expectation,
--- a/src/dogwoodmast/operator_changes.py
+++ b/src/dogwoodmast/operator_changes.py
@@ -9,13 +9,7 @@
 from dogwoodmast.change_writer import RETRY_DELAY, ChangeWriter, PendingChange
 from dogwoodmast.errors import DogwoodmastError
 from dogwoodmast.input_errors import suggest
-from dogwoodmast.operator_order import (
-    DrainOrder,
-    LossDeclaration,
-    drain_key,
-    loss_key,
-)
-from dogwoodmast.platform import (
+from dogwoodmast.key_value import (
     MISSING_REVISION,
     Delete,
     Expectation,
@@ -23,6 +17,12 @@
     Put,
     StoredValue,
 )
+from dogwoodmast.operator_order import (
+    DrainOrder,
+    LossDeclaration,
+    drain_key,
+    loss_key,
+)
 
 Order = DrainOrder | LossDeclaration
 
--- a/src/dogwoodmast/platform_reader.py
+++ b/src/dogwoodmast/platform_reader.py
@@ -18,6 +18,7 @@
 from dogwoodmast.configuration_store import CURRENT_KEY
 from dogwoodmast.errors import ConfigurationError, PlatformError
 from dogwoodmast.events import Event, log_event
+from dogwoodmast.key_value import Change, Platform, Snapshot
 from dogwoodmast.knowledge import (
     CONFIGURATION_NAME,
     Document,
@@ -31,7 +32,6 @@
     HomeRecord,
     ZoneRecord,
 )
-from dogwoodmast.platform import Change, Platform, Snapshot
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/src/dogwoodmast/record_store.py
+++ b/src/dogwoodmast/record_store.py
@@ -18,14 +18,14 @@
     PlatformAnswerLost,
     PlatformRefused,
 )
-from dogwoodmast.ownership import HomeRecord, ZoneRecord, home_key, zone_key
-from dogwoodmast.platform import (
+from dogwoodmast.key_value import (
     MISSING_REVISION,
     Expectation,
     Platform,
     Put,
     StoredValue,
 )
+from dogwoodmast.ownership import HomeRecord, ZoneRecord, home_key, zone_key
 
 MAX_TRIES = 2
 """Times that a write is sent when its answer is lost."""
--- a/src/dogwoodmast/zone_services.py
+++ b/src/dogwoodmast/zone_services.py
@@ -5,11 +5,11 @@
 import attrs
 
 from dogwoodmast.clock import Clock
+from dogwoodmast.key_value import Platform
 from dogwoodmast.knowledge_exchange import KnowledgeExchange
 from dogwoodmast.link_pool import LinkPool
 from dogwoodmast.ownership import Member
 from dogwoodmast.placement import Planner
-from dogwoodmast.platform import Platform
 from dogwoodmast.platform_reader import PlatformReader
 from dogwoodmast.view_builder import ViewBuilder
 from dogwoodmast.vm_list import VmList
--- a/tests/memory_platform.py
+++ b/tests/memory_platform.py
@@ -15,7 +15,7 @@
     PlatformRefused,
     PlatformUnavailable,
 )
-from dogwoodmast.platform import (
+from dogwoodmast.key_value import (
     MISSING_REVISION,
     Change,
     Expectation,
@@ -28,7 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterable
 
-    from dogwoodmast.platform import Delete
+    from dogwoodmast.key_value import Delete
 
 ENDPOINT = 'memory'
 WATCH_INTERVAL = 0.01
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -35,13 +35,13 @@
     FixedAnswerChanged,
     PlatformUnavailable,
 )
+from dogwoodmast.key_value import Put
 from dogwoodmast.operator_changes import OrderBook
 from dogwoodmast.operator_order import ORDER_PREFIX
-from dogwoodmast.platform import Put
 from memory_platform import MemoryPlatform, SwapFault
 
 if TYPE_CHECKING:
-    from dogwoodmast.platform import Platform
+    from dogwoodmast.key_value import Platform
 
 TARGET = Target('a1', 'north', Address('10.1.1.1', 80), 6, 130)
 CONFIGURATION = Configuration(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -34,7 +34,7 @@
     from collections.abc import Iterator
 
     from dogwoodmast.address import Address
-    from dogwoodmast.platform import SwapResult
+    from dogwoodmast.key_value import SwapResult
 
 LOCAL = pathlib.Path(__file__).parent.parent / 'examples' / 'local'
 QUESTIONNAIRE = str(LOCAL / 'questionnaire.toml')
--- a/tests/test_record_store.py
+++ b/tests/test_record_store.py
@@ -23,7 +23,7 @@
 from memory_platform import MemoryPlatform, SwapFault
 
 if TYPE_CHECKING:
-    from dogwoodmast.platform import Platform
+    from dogwoodmast.key_value import Platform
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_zone_agent.py
+++ b/tests/test_zone_agent.py
@@ -24,13 +24,13 @@
 from dogwoodmast.configuration_store import CURRENT_KEY
 from dogwoodmast.dispatch_right import Right
 from dogwoodmast.initial_placement import InitialPlanner
+from dogwoodmast.key_value import Platform, Put
 from dogwoodmast.knowledge import KnowledgeBase
 from dogwoodmast.knowledge_exchange import KnowledgeExchange
 from dogwoodmast.load_report import LoadReport
 from dogwoodmast.message_handlers import MessageHandlers
 from dogwoodmast.operator_order import LossDeclaration, loss_key
 from dogwoodmast.ownership import Member, ZoneRecord, zone_key
-from dogwoodmast.platform import Platform, Put
 from dogwoodmast.platform_reader import PlatformReader
 from dogwoodmast.view_builder import ViewBuilder
 from dogwoodmast.vm_list import Vm, VmListing, VmRole
