--- a/src/dogwoodmast/clock.py
+++ b/src/dogwoodmast/clock.py
@@ -36,6 +36,21 @@
         return time.time()
 
 
+class BootClock(SystemClock):
+    """Clock that also counts the time for which the machine stood still.
+
+    Leases go on while a machine is suspended, and the kernel's monotonic
+    clock does not.
+    """
+
+    def monotonic(self) -> float:
+        """Return seconds on a clock that never goes back or stands still.
+
+        :return: Time since the machine started, in seconds.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 @attrs.define
 class ManualClock:
     """Clock that moves only when told to."""
--- /dev/null
+++ b/src/dogwoodmast/direct/daemon.py
@@ -0,0 +1,247 @@
+"""Process of one entry VM that dispatches straight to targets."""
+
+from __future__ import annotations
+
+import logging
+import signal
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING
+
+import anyio
+import uuid6
+
+from dogwoodmast.clock import BootClock
+from dogwoodmast.direct.coordinator import Coordinator, CoordinatorParts
+from dogwoodmast.direct.directory import Directory
+from dogwoodmast.direct.directory_sync import DirectorySync, SourceChoice
+from dogwoodmast.direct.dispatcher import Dispatcher
+from dogwoodmast.direct.gate_set import GateSet
+from dogwoodmast.direct.gateway import DirectGateway
+from dogwoodmast.direct.leadership import Leadership
+from dogwoodmast.direct.messages import VmRecord
+from dogwoodmast.direct.meters import Meters
+from dogwoodmast.direct.readiness import Readiness
+from dogwoodmast.direct.settings import DirectSettings, load_direct_settings
+from dogwoodmast.direct.shard_view import LoadReporter, ShardView
+from dogwoodmast.direct.vm_registration import VmRegistration
+from dogwoodmast.events import Event, log_event
+from dogwoodmast.frames import PROTOCOL_VERSION, Hello
+from dogwoodmast.http_server import make_http_server
+from dogwoodmast.input_errors import InvalidInput
+from dogwoodmast.link_pool import LinkPool, serve_links
+from dogwoodmast.message_handlers import MessageHandlers
+from dogwoodmast.platform.documents import decode_catalog_item
+from dogwoodmast.platform.store import MetadataStore
+
+if TYPE_CHECKING:
+    import pathlib
+
+    from anyio.abc import TaskGroup
+
+REFRESH_INTERVAL = 0.2
+"""Pause between two looks at which targets are up, in seconds; entries that
+lapsed in an outage stop counting without a change that tells of it."""
+ROTATION_TIME = 3.0
+"""Time for which a stopping VM still takes new connections, in seconds; the
+balancer asks once a second and needs two misses."""
+END_MARGIN = 0.4
+"""Time before the process is killed at which it ends by itself, in seconds."""
+LEAST_IDLE_TIME = 15
+"""Time for which callers' idle connections are kept until a configuration
+says otherwise, in seconds."""
+
+
+class DirectVm:
+    """Entry VM: everything that its process runs."""
+
+    def __init__(self, settings: DirectSettings, path: pathlib.Path) -> None:
+        """Create an entry VM that is not yet started.
+
+        :param settings: Settings of the process.
+        :param path: File that they were read from.
+        """
+        self._settings = settings
+        self._path = path
+        self._bounds = settings.bounds
+        self._clock = BootClock()
+        self._store = MetadataStore(str(settings.store))
+        self._handlers = MessageHandlers()
+        self._record = VmRecord(
+            settings.vm.name,
+            settings.vm.zone,
+            str(settings.listen.links),
+            str(uuid6.uuid7()),
+        )
+        self._links = LinkPool(
+            Hello(
+                self._record.name,
+                self._record.zone,
+                self._record.incarnation,
+                PROTOCOL_VERSION,
+            ),
+            self._handlers,
+        )
+        self._directory = Directory(decode_catalog_item)
+        self._gates = GateSet(settings.vm.zone, self._clock)
+        self._view = ShardView()
+        self._meters = Meters()
+        self._readiness = Readiness(self._directory, self._gates)
+        self._dispatcher = Dispatcher(
+            self._gates, self._view, self._clock, self._bounds
+        )
+        self._gateway = DirectGateway(
+            self._directory, self._dispatcher, self._clock, self._meters
+        )
+        self._server = make_http_server(
+            self._gateway, settings.listen.callers, LEAST_IDLE_TIME
+        )
+        self._known: dict[str, bool] = {}
+
+    async def run(self) -> None:
+        """Serve until the process is told to stop."""
+        _silence_libraries()
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(self._store.aclose)
+            tasks = await stack.enter_async_context(anyio.create_task_group())
+            stack.callback(tasks.cancel_scope.cancel)
+            await stack.enter_async_context(self._links)
+            stack.push_async_callback(self._gates.aclose)
+            coordinator = self._make_coordinator()
+            registration = VmRegistration(self._record, self._store)
+            await self._start(tasks, coordinator, registration)
+            log_event(
+                Event.VM_STARTED, vm=self._record.name, zone=self._record.zone
+            )
+            await self._await_stop()
+            log_event(Event.VM_STOPPING, vm=self._record.name)
+            await self._stop(tasks, coordinator, registration)
+        log_event(Event.VM_STOPPED, vm=self._record.name)
+
+    def _make_coordinator(self) -> Coordinator:
+        parts = CoordinatorParts(
+            self._record,
+            self._directory,
+            self._store,
+            self._links,
+            self._clock,
+            self._bounds.longest_hold,
+        )
+        leadership = Leadership(self._record, self._store, self._clock)
+        return Coordinator(parts, leadership)
+
+    async def _start(
+        self,
+        tasks: TaskGroup,
+        coordinator: Coordinator,
+        registration: VmRegistration,
+    ) -> None:
+        listen = self._settings.listen
+        vm = self._settings.vm
+        sync = DirectorySync(
+            SourceChoice(vm.name, vm.zone),
+            self._directory,
+            self._store,
+            self._links,
+            self._clock,
+        )
+        reporter = LoadReporter(
+            vm.name, self._view, self._directory, self._links
+        )
+        for part in (sync, reporter, coordinator):
+            part.register(self._handlers)
+        self._add_gauges()
+        await tasks.start(serve_links, listen.links, self._handlers)
+        status = make_http_server(self._readiness, listen.readiness)
+        metrics = make_http_server(self._meters, listen.metrics)
+        for server in (self._server, status, metrics):
+            tasks.start_soon(server.serve)
+        for task in (sync, registration, reporter, coordinator):
+            tasks.start_soon(task.run)
+        tasks.start_soon(self._refresh, tasks)
+
+    async def _refresh(self, tasks: TaskGroup) -> None:
+        """Keep the gates in step with the copy of the store."""
+        while True:
+            table = self._directory.route_table
+            if table is not None:
+                targets = self._directory.targets(self._clock.monotonic())
+                vms = max(1, len(self._directory.vms()))
+                self._dispatcher.vms = vms
+                self._gates.update(targets, table, vms, tasks)
+                self._server.config.timeout_keep_alive = int(
+                    table.limits.idle_time
+                )
+                self._tell_targets(
+                    {name: one.leaving for name, one in targets.items()}
+                )
+            await anyio.sleep(REFRESH_INTERVAL)
+
+    def _tell_targets(self, current: dict[str, bool]) -> None:
+        known, self._known = self._known, current
+        for name in current.keys() - known.keys():
+            log_event(Event.TARGET_LISTED, target=name)
+        for name in known.keys() - current.keys():
+            log_event(Event.TARGET_GONE, target=name)
+        for name, leaving in current.items():
+            if leaving and not known.get(name, False):
+                log_event(Event.TARGET_LEAVING, target=name)
+
+    def _add_gauges(self) -> None:
+        meters = self._meters
+        meters.add_gauge(
+            'running', 'Requests being served.', lambda: self._gateway.running
+        )
+        meters.add_gauge(
+            'store_calls',
+            'Calls to the store so far.',
+            lambda: self._store.calls,
+        )
+        meters.add_gauge(
+            'directory_age_seconds',
+            'Age of the copy of the store.',
+            lambda: self._directory.age(self._clock.monotonic()),
+        )
+
+    async def _await_stop(self) -> None:
+        watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with anyio.open_signal_receiver(*watched) as signals:
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    break
+                self._reload()
+
+    def _reload(self) -> None:
+        try:
+            settings = load_direct_settings(self._path)
+            self._dispatcher.bounds = settings.bounds
+        except InvalidInput as error:
+            log_event(Event.SETTINGS_REJECTED, reason=str(error))
+            return
+        self._settings = settings
+        log_event(Event.SETTINGS_RELOADED, path=str(self._path))
+
+    async def _stop(
+        self,
+        tasks: TaskGroup,
+        coordinator: Coordinator,
+        registration: VmRegistration,
+    ) -> None:
+        """Leave the balancer, hand duties on and end what runs."""
+        self._readiness.leaving = True
+        self._gateway.leaving = True
+        tasks.start_soon(coordinator.leave)
+        tasks.start_soon(registration.leave)
+        stop_time = self._bounds.stop_time - END_MARGIN
+        await anyio.sleep(min(ROTATION_TIME, stop_time / 2))
+        self._server.should_exit = True
+        with anyio.move_on_after(stop_time - ROTATION_TIME):
+            while self._gateway.running:
+                await anyio.sleep(REFRESH_INTERVAL)
+            # Lets the last answers leave the socket's buffer.
+            await anyio.sleep(REFRESH_INTERVAL)
+
+
+def _silence_libraries() -> None:
+    """Keep the HTTP library's own lines out of the structured log."""
+    logging.getLogger('uvicorn').addHandler(logging.NullHandler())
+    logging.getLogger('uvicorn').propagate = False
--- /dev/null
+++ b/src/dogwoodmast/direct/dispatcher.py
@@ -0,0 +1,272 @@
+"""Way of a request from the entry VM that took it to a target."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+
+from dogwoodmast.clock import Clock
+from dogwoodmast.direct.attempt import Exchange
+from dogwoodmast.direct.call import (
+    Attempt,
+    Broken,
+    Call,
+    Deliver,
+    Delivered,
+    Failed,
+    Refused,
+    Rejected,
+)
+from dogwoodmast.direct.gate_set import GateSet
+from dogwoodmast.direct.retry_allowance import RetryAllowance
+from dogwoodmast.direct.settings import Bounds
+from dogwoodmast.direct.shard_view import ShardView
+from dogwoodmast.direct.trace import Trace
+from dogwoodmast.direct.waiting_line import Ticket, is_in_time, return_time
+from dogwoodmast.problem import Outcome, Problem, ProblemType
+
+if TYPE_CHECKING:
+    from dogwoodmast.direct.gate_set import Line
+    from dogwoodmast.direct.target_gate import TargetGate
+
+KEY_WAIT = 0.6
+"""Time for which a request waits while its key moves, in seconds; a move
+takes as long as the running work on the key."""
+KEY_RETURN = 0.3
+"""Time after which a caller is told to return if its key has no holder, in
+seconds; half of the time that a move may take."""
+LINE_SHARE = 0.9
+"""Part of the time left within which an answer must be expected for a
+request to wait; the rest covers the estimate's error."""
+RETRY_SHARE = 1.0
+"""Time left over the usual time of an answer from which a further attempt
+is worth while."""
+
+
+@attrs.define(eq=False)
+class Progress:
+    """What has become of a call so far."""
+
+    call: Call
+    """The call."""
+    trace: Trace
+    """Notes for the log."""
+    tried: frozenset[str] = frozenset()
+    """Targets that were asked."""
+    arrivals: int = 0
+    """Attempts that reached a target, or may have."""
+    may_have_run: bool = False
+    """Whether a target may have run the request."""
+    last: Attempt | None = None
+    """How the last attempt ended."""
+
+
+@attrs.define(eq=False)
+class Dispatcher:
+    """Chooses targets, waits for room, retries and gives up."""
+
+    _gates: GateSet
+    _shards: ShardView
+    _clock: Clock
+    bounds: Bounds
+    """Bounds of the contract."""
+    vms: int = 1
+    """Entry VMs that are up."""
+    _chance: random.Random = attrs.field(factory=random.Random)
+    _allowances: dict[str, RetryAllowance] = attrs.field(factory=dict)
+
+    async def run(
+        self, call: Call, deliver: Deliver, trace: Trace
+    ) -> Rejected | Delivered:
+        """Bring a call to a target and its answer to the caller.
+
+        :param call: What the caller asked for.
+        :param deliver: Passes an answer on.
+        :param trace: Notes for the log.
+        :return: The end, with a problem if no target's answer was passed on.
+        :raises AnswerCut: If an answer broke off after its beginning.
+        """
+        self._allowance(call.service).on_first(self._clock.monotonic())
+        if call.shard_key is not None:
+            self._shards.count(call.service, call.shard_key)
+        progress = Progress(call, trace)
+        left = call.deadline - self._clock.monotonic()
+        with anyio.move_on_after(left):
+            return await self._run(progress, deliver)
+        return self._give_up(progress, ProblemType.DEADLINE_EXCEEDED)
+
+    async def _run(
+        self, progress: Progress, deliver: Deliver
+    ) -> Rejected | Delivered:
+        while True:
+            gate = await self._find_place(progress)
+            if isinstance(gate, Rejected):
+                return await self._end(progress, gate, deliver)
+            progress.last = await self._attempt(progress, gate, deliver)
+            if isinstance(progress.last, Delivered):
+                return progress.last
+            if not self._may_retry(progress, gate):
+                rejected = self._give_up(progress, _problem_of(progress.last))
+                return await self._end(progress, rejected, deliver)
+
+    async def _end(
+        self, progress: Progress, rejected: Rejected, deliver: Deliver
+    ) -> Rejected | Delivered:
+        """Prefer a target's own failure to a problem of the router."""
+        if isinstance(progress.last, Failed):
+            await deliver(progress.last.reply)
+            return Delivered(progress.last.reply.status)
+        return rejected
+
+    async def _attempt(
+        self, progress: Progress, gate: TargetGate, deliver: Deliver
+    ) -> Attempt:
+        began = self._clock.monotonic()
+        pool = self._gates.pool(gate)
+        try:
+            if pool is None:
+                return Refused('the target has left', was_sent=False)
+            exchange = Exchange(progress.call, gate, pool, self._clock, deliver)
+            # Unless it ends, the target may have run the request.
+            progress.last = Broken('no answer in time')
+            attempt = await exchange.run()
+        finally:
+            self._gates.release(gate)
+        self._learn(progress, gate, attempt, began)
+        return attempt
+
+    def _learn(
+        self,
+        progress: Progress,
+        gate: TargetGate,
+        attempt: Attempt,
+        began: float,
+    ) -> None:
+        now = self._clock.monotonic()
+        progress.trace.on_attempt(gate.target, attempt, now - began)
+        progress.tried |= {gate.target.name}
+        match attempt:
+            case Delivered():
+                gate.on_answer(now - began)
+            case Refused(_, was_sent):
+                progress.arrivals += was_sent
+                gate.on_refused(now)
+            case _:
+                progress.arrivals += 1
+                progress.may_have_run = True
+                gate.on_failed(now)
+
+    def _may_retry(self, progress: Progress, gate: TargetGate) -> bool:
+        call = progress.call
+        now = self._clock.monotonic()
+        if progress.may_have_run and not call.route.repeatable:
+            return False
+        if call.deadline - now < gate.pace * RETRY_SHARE:
+            return False
+        if len(progress.tried) >= max(call.route.max_attempts, 1):
+            return False
+        if not progress.arrivals:
+            return True
+        return self._allowance(call.service).spend(self.vms, now)
+
+    async def _find_place(self, progress: Progress) -> TargetGate | Rejected:
+        call = progress.call
+        if call.shard_key is None:
+            line = self._gates.service_line(call.service)
+        else:
+            line = await self._find_holder(progress)
+        if line is None:
+            wait = KEY_RETURN
+            return self._refuse(progress, ProblemType.NO_OWNER, wait)
+        tried = frozenset() if call.shard_key is not None else progress.tried
+        gate = self._gates.choose(line, tried)
+        if gate is not None and not len(line.waiting):
+            gate.in_flight += 1
+            return gate
+        return await self._wait(progress, line, tried)
+
+    async def _find_holder(self, progress: Progress) -> Line | None:
+        """Wait for a target that holds the key."""
+        call = progress.call
+        assert call.shard_key is not None
+        pace_left = (call.deadline - self._clock.monotonic()) / 2
+        with anyio.move_on_after(min(KEY_WAIT, pace_left)):
+            while True:
+                changed = self._shards.changed
+                held = self._shards.table(call.service).find(call.shard_key)
+                if held is not None and held.open:
+                    line = self._gates.target_line(held.target, held.born)
+                    if line is not None and not self._was_refused(
+                        progress, held.target
+                    ):
+                        return line
+                await changed.wait()
+        return None
+
+    def _was_refused(self, progress: Progress, target: str) -> bool:
+        return target in progress.tried and isinstance(progress.last, Refused)
+
+    async def _wait(
+        self, progress: Progress, line: Line, tried: frozenset[str]
+    ) -> TargetGate | Rejected:
+        call = progress.call
+        wait = (line.waiting.ahead_of(call.route.priority) + 1) / line.rate
+        left = call.deadline - self._clock.monotonic()
+        if not is_in_time(wait, line.pace, left * LINE_SHARE):
+            progress.trace.on_wait(len(line.waiting), wait)
+            return self._refuse(progress, ProblemType.OVERLOADED, wait)
+        ticket = Ticket(call.route.priority, call.deadline, tried)
+        line.waiting.join(ticket)
+        try:
+            await ticket.called.wait()
+        except BaseException:
+            self._abandon(line, ticket)
+            raise
+        assert ticket.gate is not None
+        return ticket.gate
+
+    def _abandon(self, line: Line, ticket: Ticket) -> None:
+        if ticket.gate is None:
+            line.waiting.leave(ticket)
+        else:
+            self._gates.release(ticket.gate)
+
+    def _refuse(
+        self, progress: Progress, kind: ProblemType, wait: float
+    ) -> Rejected:
+        left = progress.call.deadline - self._clock.monotonic()
+        if progress.may_have_run:
+            return self._give_up(progress, ProblemType.EXCHANGE_BROKEN)
+        after = return_time(wait, left, self._chance.random())
+        return Rejected(Problem(kind, Outcome.NOT_RUN, '', after))
+
+    def _give_up(self, progress: Progress, kind: ProblemType) -> Rejected:
+        is_uncertain = progress.may_have_run or isinstance(
+            progress.last, Broken
+        )
+        if is_uncertain:
+            if kind is not ProblemType.DEADLINE_EXCEEDED:
+                kind = ProblemType.EXCHANGE_BROKEN
+            return Rejected(Problem(kind, Outcome.MAY_HAVE_RUN))
+        return self._refuse(progress, ProblemType.OVERLOADED, KEY_RETURN)
+
+    def _allowance(self, service: str) -> RetryAllowance:
+        found = self._allowances.get(service)
+        if found is None:
+            bounds = self.bounds
+            found = RetryAllowance(
+                bounds.retry_ratio, bounds.retry_window, bounds.retry_slack
+            )
+            self._allowances[service] = found
+        return found
+
+
+def _problem_of(attempt: Attempt | None) -> ProblemType:
+    match attempt:
+        case Refused():
+            return ProblemType.OVERLOADED
+        case _:
+            return ProblemType.EXCHANGE_BROKEN
--- /dev/null
+++ b/src/dogwoodmast/direct/gate_set.py
@@ -0,0 +1,187 @@
+"""All targets that an entry VM sends requests to, with their lines."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from dogwoodmast.clock import Clock
+from dogwoodmast.direct.connection_pool import ConnectionPool
+from dogwoodmast.direct.target_choice import choose_gate
+from dogwoodmast.direct.target_gate import TargetGate
+from dogwoodmast.direct.waiting_line import WaitingLine
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from anyio.abc import TaskGroup
+
+    from dogwoodmast.direct.catalog import RouteTable, Target
+
+CONNECTION_SHARE = 0.8
+"""Part of a target's connections that entry VMs use together; the rest is
+for the coordinator's calls and for VMs that have just started."""
+FEWEST_CONNECTIONS = 2
+"""Connections to a target that a VM may open in any case."""
+SLOT_FACTOR = 2.0
+"""Requests at a time that all VMs together may send to a target, over its
+slots; more would wait there longer than answers are worth."""
+
+
+@attrs.frozen(eq=False)
+class Line:
+    """Requests that wait for one target, or for any of a service."""
+
+    gates: tuple[TargetGate, ...]
+    """Targets that the requests may go to."""
+    waiting: WaitingLine
+    """Requests that wait."""
+
+    @property
+    def rate(self) -> float:
+        """Requests a second that the targets run for this VM."""
+        return sum(gate.rate for gate in self.gates)
+
+    @property
+    def pace(self) -> float:
+        """Time of an answer at the fastest target, in seconds."""
+        return min(gate.pace for gate in self.gates)
+
+
+@attrs.define(eq=False)
+class GateSet:
+    """Gates, connections and lines of all targets."""
+
+    zone: str
+    """Availability zone of the own VM."""
+    _clock: Clock
+    _chance: random.Random = attrs.field(factory=random.Random)
+    _gates: dict[tuple[str, int], TargetGate] = attrs.field(factory=dict)
+    _pools: dict[tuple[str, int], ConnectionPool] = attrs.field(factory=dict)
+    _lines: dict[str, WaitingLine] = attrs.field(factory=dict)
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no target is known."""
+        return not self._gates
+
+    @property
+    def gates(self) -> tuple[TargetGate, ...]:
+        """Gates of all targets that may be sent requests."""
+        return tuple(self._gates.values())
+
+    def update(
+        self,
+        targets: Mapping[str, Target],
+        table: RouteTable,
+        vms: int,
+        tasks: TaskGroup,
+    ) -> None:
+        """Take over which targets are up.
+
+        :param targets: Listed targets by name.
+        :param table: Configuration in force.
+        :param vms: Entry VMs that are up.
+        :param tasks: Task group that closes connections.
+        """
+        present = {
+            (one.name, one.born): one
+            for one in targets.values()
+            if not one.leaving
+        }
+        for gone in self._gates.keys() - present.keys():
+            self._gates.pop(gone)
+            tasks.start_soon(self._pools.pop(gone).aclose)
+        for life, target in present.items():
+            if life not in self._gates:
+                self._gates[life] = TargetGate(target)
+                self._pools[life] = ConnectionPool(target, self._clock)
+            service = table.services.get(target.service)
+            connections = service.max_connections if service else 0
+            highest = highest_limit(target.slots, connections, vms)
+            self._gates[life].set_highest(highest)
+
+    def service_line(self, service: str) -> Line | None:
+        """Find the line of a service whose targets are all alike.
+
+        :param service: Name of the service.
+        :return: Its line, or ``None`` if no target is up.
+        """
+        gates = tuple(
+            gate
+            for gate in self._gates.values()
+            if gate.target.service == service
+        )
+        return self._line(f'service {service}', gates)
+
+    def target_line(self, name: str, born: int) -> Line | None:
+        """Find the line of one target.
+
+        :param name: Name of the target.
+        :param born: Start of its life; 0 if it does not matter.
+        :return: Its line, or ``None`` if it is not up.
+        """
+        gate = self._gates.get((name, born))
+        gates = () if gate is None else (gate,)
+        return self._line(f'target {name}', gates)
+
+    def choose(self, line: Line, tried: frozenset[str]) -> TargetGate | None:
+        """Choose a target of a line with room.
+
+        :param line: The line.
+        :param tried: Names of targets that must not be chosen.
+        :return: The target, or ``None``.
+        """
+        gates = [gate for gate in line.gates if gate.target.name not in tried]
+        now = self._clock.monotonic()
+        return choose_gate(gates, self.zone, now, self._chance)
+
+    def pool(self, gate: TargetGate) -> ConnectionPool | None:
+        """Find the connections to a target.
+
+        :param gate: Gate of the target.
+        :return: Its connections, or ``None`` if it is no longer up.
+        """
+        return self._pools.get((gate.target.name, gate.target.born))
+
+    def release(self, gate: TargetGate) -> None:
+        """Give a place at a target back, and to whoever waits for it.
+
+        :param gate: Gate of the target.
+        """
+        gate.in_flight -= 1
+        target = gate.target
+        if self.pool(gate) is None:
+            return
+        for label in (f'target {target.name}', f'service {target.service}'):
+            waiting = self._lines.get(label)
+            while waiting and gate.has_room and waiting.serve(gate):
+                continue
+
+    async def aclose(self) -> None:
+        """Close all idle connections."""
+        for pool in self._pools.values():
+            await pool.aclose()
+
+    def _line(self, label: str, gates: tuple[TargetGate, ...]) -> Line | None:
+        if not gates:
+            return None
+        waiting = self._lines.setdefault(label, WaitingLine())
+        return Line(gates, waiting)
+
+
+def highest_limit(slots: int, connections: int, vms: int) -> float:
+    """Bound the requests that one VM sends to a target at a time.
+
+    :param slots: Requests that the target runs at a time.
+    :param connections: Connections that it takes; 0 if it does not say.
+    :param vms: Entry VMs that are up.
+    :return: Requests at a time.
+    """
+    by_slots = max(float(FEWEST_CONNECTIONS), slots * SLOT_FACTOR / vms + 1)
+    if not connections:
+        return by_slots
+    share = connections * CONNECTION_SHARE / vms
+    return max(float(FEWEST_CONNECTIONS), min(by_slots, share))
--- /dev/null
+++ b/src/dogwoodmast/direct/gateway.py
@@ -0,0 +1,273 @@
+"""HTTP endpoint for callers."""
+
+from __future__ import annotations
+
+import random
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+
+from dogwoodmast._asgi import send_answer
+from dogwoodmast.clock import Clock
+from dogwoodmast.direct.attempt import CONNECTION_HEADERS
+from dogwoodmast.direct.call import Call, Rejected, Reply
+from dogwoodmast.direct.catalog import pick_share
+from dogwoodmast.direct.directory import Directory
+from dogwoodmast.direct.dispatcher import Dispatcher
+from dogwoodmast.direct.meters import Meters
+from dogwoodmast.direct.trace import RequestLog, Trace
+from dogwoodmast.gateway import problem_answer
+from dogwoodmast.platform.headers import (
+    REPLACED_HEADERS,
+    CallerFields,
+    read_caller_fields,
+)
+from dogwoodmast.problem import Problem, ProblemType
+
+if TYPE_CHECKING:
+    from dogwoodmast._asgi import RawHeaders, Receive, Scope, Send
+    from dogwoodmast.direct.call import Delivered
+    from dogwoodmast.direct.catalog import Route, RouteTable
+
+STARTING_RETURN = 0.5
+"""Time after which a caller is told to return to a VM that has no
+configuration yet, in seconds; two reads of the store."""
+BUFFER_SIZE = 33_554_432
+"""Bytes of request bodies that a VM holds at a time; a sixth of the memory
+of the smallest VM of the contract."""
+
+_WITHOUT_BODY = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+
+
+class CallerLeft(Exception):
+    """The caller closed its connection before its request was whole."""
+
+
+class BodyTooLarge(Exception):
+    """The body is larger than the limit."""
+
+
+class BuffersFull(Exception):
+    """Other requests' bodies take up all the memory for them."""
+
+
+@attrs.define(eq=False)
+class DirectGateway:
+    """ASGI application for callers."""
+
+    _directory: Directory
+    _dispatcher: Dispatcher
+    _clock: Clock
+    _meters: Meters
+    leaving: bool = False
+    """Whether callers are asked to open no more requests here."""
+    _log: RequestLog = attrs.field(factory=RequestLog)
+    _chance: random.Random = attrs.field(factory=random.Random)
+    _buffered: int = 0
+    _running: int = 0
+
+    @property
+    def running(self) -> int:
+        """Requests that are being served."""
+        return self._running
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serve one request.
+
+        :param scope: ASGI scope.
+        :param receive: ASGI receive callable.
+        :param send: ASGI send callable.
+        """
+        if scope['type'] != 'http':
+            return
+        self._running += 1
+        try:
+            await self._serve(scope, receive, send)
+        finally:
+            self._running -= 1
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+        arrived = self._clock.monotonic()
+        table = self._directory.route_table
+        if table is None:
+            problem = Problem(ProblemType.STARTING, retry_after=STARTING_RETURN)
+            await self._send_problem(send, problem)
+            return
+        path = scope['raw_path'].decode('latin-1')
+        route = table.select(_host(scope), path)
+        if route is None:
+            await self._send_problem(send, Problem(ProblemType.UNKNOWN_SERVICE))
+            return
+        try:
+            body = await self._read_body(receive, table.limits.body_bytes)
+        except CallerLeft:
+            return
+        except BodyTooLarge:
+            await self._send_problem(send, Problem(ProblemType.BODY_TOO_LARGE))
+            return
+        except BuffersFull:
+            problem = Problem(
+                ProblemType.OVERLOADED, retry_after=STARTING_RETURN
+            )
+            await self._send_problem(send, problem)
+            return
+        try:
+            call = self._make_call(scope, route, table, body, arrived)
+            await self._run(call, table, receive, send)
+        finally:
+            self._buffered -= len(body)
+
+    def _make_call(
+        self,
+        scope: Scope,
+        route: Route,
+        table: RouteTable,
+        body: bytes,
+        arrived: float,
+    ) -> Call:
+        fields = read_caller_fields(scope['headers'])
+        service = pick_share(route.shares, self._chance.random())
+        known = table.services.get(service)
+        is_sharded = known is not None and known.sharded
+        return Call(
+            attempt_id=fields.attempt_id or b'',
+            route=route,
+            service=service,
+            shard_key=fields.shard_key if is_sharded else None,
+            method=scope['method'].encode('latin-1'),
+            path=_path(scope),
+            headers=_passed_headers(scope['headers']),
+            body=body,
+            arrived=arrived,
+            deadline=arrived + _patience(fields, route),
+        )
+
+    async def _run(
+        self, call: Call, table: RouteTable, receive: Receive, send: Send
+    ) -> None:
+        trace = Trace(table.version, self._directory.age(call.arrived))
+        end: Rejected | Delivered | None = None
+        began = False
+
+        async def deliver(reply: Reply) -> None:
+            nonlocal began
+            began = True
+            await self._send_reply(send, call, reply)
+
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_watch_caller, receive, tasks.cancel_scope)
+                end = await self._dispatcher.run(call, deliver, trace)
+                tasks.cancel_scope.cancel()
+            if isinstance(end, Rejected) and not began:
+                await self._send_problem(send, end.problem)
+        finally:
+            trace.on_end(end)
+            seconds = self._clock.monotonic() - call.arrived
+            self._meters.on_end(call, end, seconds)
+            self._log.write(trace, call, seconds)
+
+    async def _read_body(self, receive: Receive, limit: int) -> bytes:
+        body = bytearray()
+        counted = 0
+        try:
+            while True:
+                message = await receive()
+                if message['type'] == 'http.disconnect':
+                    raise CallerLeft
+                body += message.get('body', b'')
+                self._buffered += len(body) - counted
+                counted = len(body)
+                if counted > limit:
+                    raise BodyTooLarge
+                if self._buffered > BUFFER_SIZE:
+                    raise BuffersFull
+                if not message.get('more_body', False):
+                    return bytes(body)
+        except BaseException:
+            self._buffered -= counted
+            raise
+
+    async def _send_reply(self, send: Send, call: Call, reply: Reply) -> None:
+        headers = list(reply.headers)
+        is_bodiless = call.method == b'HEAD' or reply.status in _WITHOUT_BODY
+        if reply.rest is None and not is_bodiless:
+            headers.append((b'content-length', str(len(reply.body)).encode()))
+        headers.extend(self._closing_headers())
+        if reply.rest is None:
+            await send_answer(send, reply.status, headers, reply.body)
+            return
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': reply.status,
+                'headers': headers,
+            }
+        )
+        await _send_piece(send, reply.body)
+        async for piece in reply.rest:
+            await _send_piece(send, piece)
+        await send({'type': 'http.response.body', 'body': b''})
+
+    async def _send_problem(self, send: Send, problem: Problem) -> None:
+        answer = problem_answer(problem)
+        headers = [
+            (header.name.encode(), header.value.encode())
+            for header in answer.headers
+            if header.name != 'retry-after'
+        ]
+        headers.append((b'content-length', str(len(answer.body)).encode()))
+        if problem.retry_after is not None:
+            # Callers take fractions; whole seconds would waste their time.
+            seconds = f'{problem.retry_after:.3f}'
+            headers.append((b'retry-after', seconds.encode()))
+        headers.extend(self._closing_headers())
+        await send_answer(send, answer.status, headers, answer.body)
+
+    def _closing_headers(self) -> RawHeaders:
+        return [(b'connection', b'close')] if self.leaving else []
+
+
+async def _send_piece(send: Send, piece: bytes) -> None:
+    await send({'type': 'http.response.body', 'body': piece, 'more_body': True})
+
+
+async def _watch_caller(receive: Receive, scope: anyio.CancelScope) -> None:
+    message = await receive()
+    if message['type'] == 'http.disconnect':
+        scope.cancel()
+
+
+def _host(scope: Scope) -> str:
+    for name, field in scope['headers']:
+        if name == b'host':
+            return str(field.decode('latin-1'))
+    return ''
+
+
+def _path(scope: Scope) -> bytes:
+    path: bytes = scope['raw_path']
+    if scope['query_string']:
+        return b'?'.join((path, scope['query_string']))
+    return path
+
+
+def _patience(fields: CallerFields, route: Route) -> float:
+    if fields.patience is None:
+        return route.timeout
+    return min(fields.patience, route.timeout)
+
+
+def _passed_headers(headers: RawHeaders) -> RawHeaders:
+    named = {
+        token.strip().lower()
+        for name, field in headers
+        if name == b'connection'
+        for token in field.split(b',')
+    }
+    dropped = CONNECTION_HEADERS | REPLACED_HEADERS | named | {b'expect'}
+    return [one for one in headers if one[0] not in dropped]
--- /dev/null
+++ b/src/dogwoodmast/direct/leadership.py
@@ -0,0 +1,144 @@
+"""Election of the one entry VM that grants keys to targets."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+
+from dogwoodmast._wire import encode
+from dogwoodmast.direct.directory import COORDINATOR_KEY
+from dogwoodmast.errors import PlatformAnswerLost, PlatformError
+from dogwoodmast.events import Event, log_event
+from dogwoodmast.key_value import MISSING_REVISION, Expectation, Put
+
+if TYPE_CHECKING:
+    from dogwoodmast.clock import Clock
+    from dogwoodmast.direct.messages import VmRecord
+    from dogwoodmast.key_value import PolledStore
+
+LEASE_TTL = 3
+"""Time after which the store drops a coordinator that fell silent, in
+seconds; keys stay held twice as long, so that a takeover loses none."""
+LEASE_MARGIN = 0.2
+"""Time by which a coordinator stops before its lease may end, in seconds."""
+RENEWAL_INTERVAL = 0.8
+"""Pause between renewals, in seconds; three may fail within a lease."""
+RENEWAL_RETRY = 0.2
+"""Pause after a renewal that failed, in seconds."""
+
+
+@attrs.frozen
+class Reign:
+    """Time for which one entry VM is the coordinator."""
+
+    epoch: int
+    """Store revision of the coordinator's record; later reigns are greater."""
+    lease: int
+    """Lease that the record ends with."""
+
+
+class Leadership:
+    """The coordinator's lease of the own VM."""
+
+    def __init__(
+        self, record: VmRecord, store: PolledStore, clock: Clock
+    ) -> None:
+        """Create it without a lease.
+
+        :param record: Record of the own VM.
+        :param store: The store.
+        :param clock: Clock that counts suspended time.
+        """
+        self._record = record
+        self._store = store
+        self._clock = clock
+        self._valid_until = float('-inf')
+        self._reign: Reign | None = None
+
+    @property
+    def reign(self) -> Reign | None:
+        """The current reign, or ``None`` if this VM may not act."""
+        if self._clock.monotonic() >= self._valid_until:
+            return None
+        return self._reign
+
+    @property
+    def expectation(self) -> Expectation:
+        """Condition that holds only while this VM is the coordinator."""
+        epoch = self._reign.epoch if self._reign else MISSING_REVISION
+        return Expectation(COORDINATOR_KEY, epoch)
+
+    async def stand(self) -> Reign | None:
+        """Try to become the coordinator.
+
+        :return: The reign, or ``None`` if another VM was first.
+        :raises PlatformError: If the store does not answer.
+        """
+        asked_at = self._clock.monotonic()
+        lease = await self._store.grant_lease(LEASE_TTL)
+        revision = await self._write_record(lease)
+        if revision is None:
+            await self._store.revoke_lease(lease)
+            return None
+        self._reign = Reign(revision, lease)
+        self._extend(asked_at)
+        log_event(Event.ROLE_TAKEN, vm=self._record.name, epoch=revision)
+        return self._reign
+
+    async def keep(self, reign: Reign) -> None:
+        """Renew the lease until it is lost.
+
+        :param reign: The current reign.
+        """
+        while self.reign is reign:
+            asked_at = self._clock.monotonic()
+            try:
+                with anyio.move_on_after(LEASE_TTL / 2):
+                    if not await self._store.keep_lease(reign.lease):
+                        break
+                    self._extend(asked_at)
+            except PlatformError as error:
+                log_event(Event.RENEWAL_FAILED, reason=error.message)
+                await anyio.sleep(RENEWAL_RETRY)
+                continue
+            await anyio.sleep(RENEWAL_INTERVAL)
+        self._end()
+
+    async def resign(self) -> None:
+        """Give the role up, so that another VM can take it at once."""
+        reign = self._reign
+        if reign is None:
+            return
+        self._end()
+        try:
+            await self._store.revoke_lease(reign.lease)
+        except PlatformError as error:
+            log_event(Event.RENEWAL_FAILED, reason=error.message)
+
+    async def _write_record(self, lease: int) -> int | None:
+        content = encode(self._record)
+        try:
+            swap = await self._store.swap(
+                (Expectation(COORDINATOR_KEY, MISSING_REVISION),),
+                (Put(COORDINATOR_KEY, content, lease),),
+            )
+        except PlatformAnswerLost:
+            return await self._find_own_record(content)
+        return swap.revision if swap.succeeded else None
+
+    async def _find_own_record(self, content: bytes) -> int | None:
+        found = (await self._store.read(COORDINATOR_KEY)).first
+        if found is None or found.value != content:
+            return None
+        return found.revision
+
+    def _extend(self, asked_at: float) -> None:
+        self._valid_until = asked_at + LEASE_TTL - LEASE_MARGIN
+
+    def _end(self) -> None:
+        if self._reign is not None:
+            log_event(Event.ROLE_GIVEN_UP, epoch=self._reign.epoch)
+        self._reign = None
+        self._valid_until = float('-inf')
--- /dev/null
+++ b/src/dogwoodmast/direct/meters.py
@@ -0,0 +1,103 @@
+"""Counters and latency histograms of one entry VM."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+import attrs
+from prometheus_client import (
+    CONTENT_TYPE_LATEST,
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from dogwoodmast._asgi import send_answer
+from dogwoodmast.direct.call import Delivered, Rejected
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dogwoodmast._asgi import Receive, Scope, Send
+    from dogwoodmast.direct.call import Call
+
+LATENCY_BOUNDS = (0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2.5, 5)
+"""Upper bounds of the latency histogram, in seconds; they cover the
+objectives and deadlines of the contract."""
+
+
+@attrs.define(eq=False)
+class Meters:
+    """Metrics, and the ASGI application that shows them."""
+
+    _registry: CollectorRegistry = attrs.field(factory=CollectorRegistry)
+    _requests: Counter = attrs.field(init=False)
+    _latency: Histogram = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the metrics."""
+        self._requests = Counter(
+            'dogwoodmast_requests',
+            'Requests by what the caller was told.',
+            ('route', 'outcome', 'status'),
+            registry=self._registry,
+        )
+        self._latency = Histogram(
+            'dogwoodmast_latency_seconds',
+            'Time from arrival to the end of the answer.',
+            ('route',),
+            buckets=LATENCY_BOUNDS,
+            registry=self._registry,
+        )
+
+    def add_gauge(
+        self, name: str, text: str, read: Callable[[], float]
+    ) -> None:
+        """Show a figure that is read when asked for.
+
+        :param name: Name behind the product's prefix.
+        :param text: What it tells.
+        :param read: Reads the figure.
+        """
+        gauge = Gauge(f'dogwoodmast_{name}', text, registry=self._registry)
+        gauge.set_function(read)
+
+    def on_end(
+        self, call: Call, end: Rejected | Delivered | None, seconds: float
+    ) -> None:
+        """Count a request.
+
+        :param call: What the caller asked for.
+        :param end: What the caller was told, or ``None`` if it left.
+        :param seconds: Time since it arrived.
+        """
+        route = call.route.name
+        match end:
+            case Delivered(status):
+                self._requests.labels(route, 'delivered', status).inc()
+                self._latency.labels(route).observe(seconds)
+            case Rejected(problem):
+                status = int(problem.type.status)
+                slug = problem.type.slug
+                self._requests.labels(route, slug, status).inc()
+            case None:
+                self._requests.labels(route, 'abandoned', 0).inc()
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Show all metrics.
+
+        :param scope: ASGI scope.
+        :param receive: ASGI receive callable.
+        :param send: ASGI send callable.
+        """
+        body = generate_latest(self._registry)
+        headers = [
+            (b'content-type', CONTENT_TYPE_LATEST.encode()),
+            (b'content-length', str(len(body)).encode()),
+        ]
+        await send_answer(send, HTTPStatus.OK, headers, body)
--- /dev/null
+++ b/src/dogwoodmast/direct/target_control.py
@@ -0,0 +1,130 @@
+"""Calls by which a coordinator grants keys and takes them back."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+import anyio
+import attrs
+
+from dogwoodmast.direct.catalog import Target
+from dogwoodmast.direct.shard_keeper import GrantAnswer, GrantCall, ReleaseCall
+from dogwoodmast.direct.target_connection import Outgoing, TargetConnection
+from dogwoodmast.errors import BackendError, ConnectFailed, ExchangeAborted
+from dogwoodmast.platform.grants import grant_call, release_call
+from dogwoodmast.platform.headers import (
+    expected_target_header,
+    read_reply_fields,
+)
+
+if TYPE_CHECKING:
+    from dogwoodmast.direct.shard_keeper import KeeperCall
+
+GRANT_TIMEOUT = 0.6
+"""Time allowed for the answer to a grant, in seconds; a third of the pause
+between renewals, so that one that is lost is made up for."""
+RELEASE_TIMEOUT = 3.0
+"""Time allowed for the answer to a release, in seconds; targets answer when
+the running work on the keys has ended, so it covers the longest deadlines."""
+IDLE_CONNECTIONS = 4
+"""Idle connections to a target that are kept for further calls."""
+
+
+@attrs.frozen
+class ControlResult:
+    """How a call to a target ended."""
+
+    answer: GrantAnswer
+    """What the target answered."""
+    handover: str = ''
+    """State token of released keys."""
+
+
+@attrs.define(eq=False)
+class TargetControl:
+    """Connections to one life of a target, for grants and releases."""
+
+    target: Target
+    """Target that is called."""
+    _idle: list[TargetConnection] = attrs.field(factory=list)
+
+    async def call(self, order: KeeperCall) -> ControlResult:
+        """Make a call.
+
+        :param order: What is asked of the target.
+        :return: How it ended.
+        """
+        outgoing, timeout = _outgoing(order)
+        connection: TargetConnection | None = None
+        try:
+            with anyio.fail_after(timeout):
+                connection = await self._connect()
+                return await self._exchange(connection, outgoing)
+        except ConnectFailed:
+            return ControlResult(GrantAnswer.UNSENT)
+        except (BackendError, TimeoutError):
+            return ControlResult(GrantAnswer.UNKNOWN)
+        finally:
+            await self._give_back(connection)
+
+    async def aclose(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            await self._idle.pop().aclose()
+
+    async def _connect(self) -> TargetConnection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_usable:
+                return connection
+            await connection.aclose()
+        return await TargetConnection.connect(
+            self.target.name, self.target.address
+        )
+
+    async def _exchange(
+        self, connection: TargetConnection, outgoing: Outgoing
+    ) -> ControlResult:
+        head = await connection.start(outgoing)
+        async for _ in connection.read_body():
+            continue
+        match head.status:
+            case HTTPStatus.OK:
+                fields = read_reply_fields(head.headers)
+                return ControlResult(GrantAnswer.ACCEPTED, fields.handover)
+            case HTTPStatus.CONFLICT:
+                return ControlResult(GrantAnswer.OUTDATED)
+            case HTTPStatus.MISDIRECTED_REQUEST:
+                return ControlResult(GrantAnswer.ANOTHER)
+            case status:
+                raise ExchangeAborted(self.target.name, f'status {status}')
+
+    async def _give_back(self, connection: TargetConnection | None) -> None:
+        if connection is None:
+            return
+        if connection.is_usable and len(self._idle) < IDLE_CONNECTIONS:
+            self._idle.append(connection)
+        else:
+            # What is still on its way must not be delivered later.
+            await connection.reset()
+
+
+def _outgoing(order: KeeperCall) -> tuple[Outgoing, float]:
+    piece = order.piece
+    match order:
+        case GrantCall():
+            path, body = grant_call(
+                piece.first, piece.last, order.fence, order.hold, order.handover
+            )
+            timeout = GRANT_TIMEOUT
+        case ReleaseCall():
+            path, body = release_call(piece.first, piece.last, order.fence)
+            timeout = RELEASE_TIMEOUT
+    target = order.target
+    headers = [
+        (b'host', str(target.address).encode()),
+        (b'content-type', b'application/json'),
+        expected_target_header(target.name),
+    ]
+    return Outgoing(b'POST', path, headers, body), timeout
--- /dev/null
+++ b/src/dogwoodmast/direct/waiting_line.py
@@ -0,0 +1,142 @@
+"""Requests that wait for room at a target.
+
+The load that this answers: bursts above what the targets can run.  A request
+waits only if its turn is expected in time; any other is refused at once and
+told when to come back.  More urgent kinds of request go first.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+
+import anyio
+import attrs
+
+from dogwoodmast.direct.target_gate import TargetGate
+
+SHORTEST_RETURN = 0.05
+"""Shortest time after which a refused caller is told to return, in seconds;
+below it the balancer's way takes longer."""
+RETURN_SPREAD = 0.5
+"""Part by which chance lengthens the time, so that callers refused together
+do not return together."""
+
+
+@attrs.define(eq=False)
+class Ticket:
+    """Place of one request in a line."""
+
+    priority: int
+    """Rank of its kind; 0 is the highest."""
+    deadline: float
+    """Time by which an answer must come, in seconds."""
+    tried: frozenset[str] = frozenset()
+    """Targets that it must not go to again."""
+    gate: TargetGate | None = None
+    """Target that has been given to it."""
+    called: anyio.Event = attrs.field(factory=anyio.Event)
+    """Set once a target has been given to it."""
+    left: bool = False
+    """Whether it no longer waits."""
+
+    def give(self, gate: TargetGate) -> None:
+        """Give it a place at a target.
+
+        :param gate: Target with room.
+        """
+        gate.in_flight += 1
+        self.gate = gate
+        self.left = True
+        self.called.set()
+
+
+@attrs.define
+class WaitingLine:
+    """Requests that wait for the same targets, most urgent first."""
+
+    _heap: list[tuple[int, int, Ticket]] = attrs.field(factory=list)
+    _numbers: itertools.count[int] = attrs.field(factory=itertools.count)
+    _length: int = 0
+
+    def __len__(self) -> int:
+        """Return how many requests wait.
+
+        :return: Their number.
+        """
+        return self._length
+
+    def ahead_of(self, priority: int) -> int:
+        """Count the requests that go before a new one.
+
+        :param priority: Rank of the new request.
+        :return: Their number.
+        """
+        return sum(
+            not ticket.left and rank <= priority
+            for rank, _, ticket in self._heap
+        )
+
+    def join(self, ticket: Ticket) -> None:
+        """Add a request.
+
+        :param ticket: Its ticket.
+        """
+        entry = (ticket.priority, next(self._numbers), ticket)
+        heapq.heappush(self._heap, entry)
+        self._length += 1
+
+    def leave(self, ticket: Ticket) -> None:
+        """Take a request out.
+
+        :param ticket: Its ticket.
+        """
+        if not ticket.left:
+            ticket.left = True
+            self._length -= 1
+
+    def serve(self, gate: TargetGate) -> bool:
+        """Give a target's room to the first request that may have it.
+
+        :param gate: Target with room.
+        :return: Whether one was found.
+        """
+        passed: list[tuple[int, int, Ticket]] = []
+        found = False
+        while self._heap and not found:
+            entry = heapq.heappop(self._heap)
+            ticket = entry[2]
+            if ticket.left:
+                continue
+            if gate.target.name in ticket.tried:
+                passed.append(entry)
+                continue
+            self._length -= 1
+            ticket.give(gate)
+            found = True
+        for entry in passed:
+            heapq.heappush(self._heap, entry)
+        return found
+
+
+def is_in_time(wait: float, pace: float, left: float) -> bool:
+    """Tell whether a request may wait.
+
+    :param wait: Expected time until its turn, in seconds.
+    :param pace: Expected time of its answer, in seconds.
+    :param left: Time left for it, in seconds.
+    :return: Whether the answer is expected in time.
+    """
+    return wait + pace <= left
+
+
+def return_time(wait: float, left: float, point: float) -> float:
+    """Choose when a refused caller is to come back.
+
+    :param wait: Time in which the line would be served, in seconds.
+    :param left: Time that the caller has left, in seconds.
+    :param point: Number from 0 to 1, drawn evenly.
+    :return: Time in seconds; callers heed up to a third of what is left.
+    """
+    spread = 1 + RETURN_SPREAD * point
+    return min(max(wait, SHORTEST_RETURN) * spread, max(left, 0.0) / 3)
--- a/src/dogwoodmast/errors.py
+++ b/src/dogwoodmast/errors.py
@@ -70,6 +70,19 @@
         return f'platform at {self.endpoint} answered {self.status}'
 
 
+@attrs.define
+class HistoryLost(PlatformError):
+    """The store no longer has the changes since a revision."""
+
+    revision: int
+    """Revision that was asked for."""
+
+    @property
+    def message(self) -> str:
+        """Describe the failure in one sentence."""
+        return f'the store has dropped the changes since {self.revision}'
+
+
 class LinkError(DogwoodmastError):
     """A link between two entry VMs failed."""
 
--- a/src/dogwoodmast/http_server.py
+++ b/src/dogwoodmast/http_server.py
@@ -8,11 +8,15 @@
 import uvicorn
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Awaitable, Callable, Iterator
 
+    from dogwoodmast._asgi import Receive, Scope, Send
     from dogwoodmast.address import Address
-    from dogwoodmast.gateway import Gateway
 
+    Application = Callable[[Scope, Receive, Send], Awaitable[None]]
+
+IDLE_TIME = 5
+"""Time for which an idle connection is kept, in seconds."""
 SHUTDOWN_TIMEOUT = 30
 """Time allowed for requests in flight at a stop, in seconds."""
 
@@ -26,15 +30,20 @@
         yield
 
 
-def make_http_server(gateway: Gateway, address: Address) -> HttpServer:
-    """Create the server of callers.
+def make_http_server(
+    application: Application,
+    address: Address,
+    idle_time: int = IDLE_TIME,
+) -> HttpServer:
+    """Create a server.
 
-    :param gateway: Application to serve.
+    :param application: Application to serve.
     :param address: Address to listen on.
+    :param idle_time: Time for which an idle connection is kept, in seconds.
     :return: The server, not yet started.
     """
     config = uvicorn.Config(
-        gateway,
+        application,
         host=address.host,
         port=address.port,
         http='httptools',
@@ -42,6 +51,9 @@
         access_log=False,
         log_config=None,
         server_header=False,
+        date_header=False,
+        ws='none',
+        timeout_keep_alive=idle_time,
         timeout_graceful_shutdown=SHUTDOWN_TIMEOUT,
     )
     return HttpServer(config)
--- /dev/null
+++ b/src/dogwoodmast/idl/direct.thrift
@@ -0,0 +1,70 @@
+// Messages between entry VMs that dispatch straight to targets, and the
+// records that they keep in the store.
+
+struct VmRecord {
+  1: string name,
+  2: string zone,
+  3: string links,
+  4: string incarnation,
+}
+
+struct DirectoryItem {
+  1: string key,
+  2: i64 revision,
+  3: bool removed,
+  4: binary content,
+  5: double doubtful_for,
+}
+
+struct DirectoryPull {
+  1: i64 after,
+}
+
+struct DirectoryPage {
+  1: i64 revision,
+  2: double age,
+  3: list<DirectoryItem> items,
+}
+
+struct ShardAssignment {
+  1: i64 first,
+  2: i64 last,
+  3: string target,
+  4: i64 born,
+  5: i64 fence,
+  6: bool open,
+}
+
+struct ShardRecord {
+  1: string service_name,
+  2: i64 epoch,
+  3: i64 number,
+  4: list<ShardAssignment> assignments,
+}
+
+struct ShardUpdate {
+  1: string service_name,
+  2: i64 epoch,
+  3: i64 base,
+  4: i64 number,
+  5: list<ShardAssignment> assignments,
+}
+
+struct ShardVersion {
+  1: string service_name,
+  2: i64 epoch,
+  3: i64 number,
+}
+
+struct KeyCount {
+  1: i64 key,
+  2: double requests,
+}
+
+struct LoadReport {
+  1: string vm,
+  2: string service_name,
+  3: i64 epoch,
+  4: i64 number,
+  5: list<KeyCount> keys,
+}
--- a/src/dogwoodmast/key_value.py
+++ b/src/dogwoodmast/key_value.py
@@ -99,8 +99,18 @@
     """Store revision of the change."""
 
 
-class Platform(Protocol):
-    """Client of the platform's key-value service.
+@attrs.frozen
+class ChangePage:
+    """Changes that were read together."""
+
+    revision: int
+    """Store revision that the page leads up to."""
+    changes: tuple[Change, ...]
+    """Changes in their order."""
+
+
+class Store(Protocol):
+    """Client of a key-value service with leases.
 
     Each call may raise :class:`~dogwoodmast.errors.PlatformUnavailable` if
     it surely had no effect, :class:`~dogwoodmast.errors.PlatformAnswerLost`
@@ -154,6 +164,26 @@
         :param lease: Number of the lease.
         """
 
+
+class PolledStore(Store, Protocol):
+    """Client of a service that is asked for its changes."""
+
+    async def read_changes(
+        self, prefix: str, after: int, wait: float
+    ) -> ChangePage:
+        """Read what has changed.
+
+        :param prefix: Beginning of the keys.
+        :param after: Revision after which changes count.
+        :param wait: Longest time to wait for a change, in seconds.
+        :return: The changes, none if the time passed without one.
+        :raises HistoryLost: If the history does not reach back so far.
+        """
+
+
+class Platform(Store, Protocol):
+    """Client of a service that streams its changes."""
+
     def watch_prefix(
         self, prefix: str, start_revision: int
     ) -> AbstractAsyncContextManager[AsyncIterator[Change]]:
--- /dev/null
+++ b/src/dogwoodmast/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: its store, documents and headers."""
--- /dev/null
+++ b/src/dogwoodmast/platform/store.py
@@ -0,0 +1,221 @@
+"""Client of the platform's metadata store."""
+
+from __future__ import annotations
+
+import base64
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import orjson
+
+from dogwoodmast.errors import HistoryLost, PlatformRefused
+from dogwoodmast.json_calls import JsonCalls
+from dogwoodmast.key_value import (
+    Change,
+    ChangePage,
+    Delete,
+    Expectation,
+    Put,
+    Snapshot,
+    StoredValue,
+    SwapResult,
+)
+
+CALL_TIMEOUT = 1.5
+"""Time allowed for an answer, in seconds; a slow store of the contract takes
+up to 0.4 s, and a connection that fell silent has to be found out before the
+coordinator's lease ends."""
+
+_MILLISECONDS = 1000
+_OK = frozenset((HTTPStatus.OK,))
+_OK_OR_MISSING = frozenset((HTTPStatus.OK, HTTPStatus.NOT_FOUND))
+_OK_OR_CONFLICT = frozenset((HTTPStatus.OK, HTTPStatus.PRECONDITION_FAILED))
+_OK_OR_GONE = frozenset((HTTPStatus.OK, HTTPStatus.GONE))
+
+
+class MetadataStore:
+    """Client of the store; it satisfies ``PolledStore``."""
+
+    def __init__(self, address: str) -> None:
+        """Create a client; connections open when needed.
+
+        :param address: IP number and port of the store.
+        """
+        self._http = JsonCalls(f'http://{address}')
+
+    @property
+    def calls(self) -> int:
+        """Calls made so far."""
+        return self._http.calls
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        await self._http.aclose()
+
+    async def read(self, key: str) -> Snapshot:
+        """Read one key.
+
+        :param key: Key.
+        :return: At most one value.
+        """
+        query = urlencode({'key': key})
+        status, document = await self._call(
+            'GET', f'/api/kv-key?{query}', None, _OK_OR_MISSING
+        )
+        revision = int(document.get('as_of', 0))
+        if status == HTTPStatus.NOT_FOUND:
+            return Snapshot(revision, ())
+        return Snapshot(revision, (_stored_value(document),))
+
+    async def read_prefix(self, prefix: str) -> Snapshot:
+        """Read all keys that begin with a prefix.
+
+        Pages are read one after another, so later ones may hold later
+        values; the revision is that of the first page, and changes after it
+        are complete.
+
+        :param prefix: Beginning of the keys.
+        :return: The values.
+        """
+        values: list[StoredValue] = []
+        revision = 0
+        last = ''
+        more = True
+        while more:
+            query = urlencode({'prefix': prefix, 'after': last})
+            _, document = await self._call(
+                'GET', f'/api/kv-range?{query}', None, _OK
+            )
+            revision = revision or int(document['as_of'])
+            page = [_stored_value(one) for one in document['items']]
+            values.extend(page)
+            more = bool(document['has_more']) and bool(page)
+            last = page[-1].key if page else ''
+        return Snapshot(revision, tuple(values))
+
+    async def read_changes(
+        self, prefix: str, after: int, wait: float
+    ) -> ChangePage:
+        """Read what has changed.
+
+        :param prefix: Beginning of the keys.
+        :param after: Revision after which changes count.
+        :param wait: Longest time to wait for a change, in seconds.
+        :return: The changes.
+        :raises HistoryLost: If the history does not reach back so far.
+        """
+        query = urlencode(
+            {
+                'prefix': prefix,
+                'after': after,
+                'wait_ms': int(wait * _MILLISECONDS),
+            }
+        )
+        status, document = await self._call(
+            'GET',
+            f'/api/kv-watch?{query}',
+            None,
+            _OK_OR_GONE,
+            wait + CALL_TIMEOUT,
+        )
+        if status == HTTPStatus.GONE:
+            raise HistoryLost(after)
+        changes = tuple(_change(event) for event in document['events'])
+        return ChangePage(int(document['as_of']), changes)
+
+    async def swap(
+        self,
+        expectations: tuple[Expectation, ...],
+        writes: tuple[Put | Delete, ...],
+    ) -> SwapResult:
+        """Write if every expectation holds.
+
+        :param expectations: Conditions.
+        :param writes: Writes, made all or none.
+        :return: Whether they were made.
+        """
+        body = {
+            'expect': [
+                {'key': one.key, 'revision': one.revision}
+                for one in expectations
+            ],
+            'puts': [_put(one) for one in writes if isinstance(one, Put)],
+            'deletes': [one.key for one in writes if isinstance(one, Delete)],
+        }
+        status, document = await self._call(
+            'POST', '/api/kv-txn', body, _OK_OR_CONFLICT
+        )
+        return SwapResult(
+            succeeded=status == HTTPStatus.OK,
+            revision=int(document.get('revision', 0)),
+        )
+
+    async def grant_lease(self, ttl: int) -> int:
+        """Create a lease.
+
+        :param ttl: Time to live, in whole seconds.
+        :return: Number of the lease.
+        """
+        _, document = await self._call(
+            'POST', '/api/kv-lease', {'ttl_s_time': ttl}, _OK
+        )
+        return int(document['lease'])
+
+    async def keep_lease(self, lease: int) -> bool:
+        """Renew a lease.
+
+        :param lease: Number of the lease.
+        :return: ``False`` if it had lapsed.
+        """
+        status, _ = await self._call(
+            'POST', f'/api/kv-keep/{lease}', None, _OK_OR_MISSING
+        )
+        return status == HTTPStatus.OK
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease and the values that depend on it.
+
+        :param lease: Number of the lease.
+        """
+        path = quote(f'/api/kv-lease-end/{lease}')
+        await self._call('DELETE', path, None, _OK_OR_MISSING)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: object,
+        accepted: frozenset[HTTPStatus],
+        timeout: float = CALL_TIMEOUT,
+    ) -> tuple[int, dict[str, Any]]:
+        status, content = await self._http.call(method, path, body, timeout)
+        if status not in accepted:
+            raise PlatformRefused(self._http.endpoint, status)
+        document = orjson.loads(content) if content else {}
+        return status, document
+
+
+def _stored_value(document: dict[str, Any]) -> StoredValue:
+    return StoredValue(
+        key=document['key'],
+        value=base64.b64decode(document['value']),
+        revision=int(document['revision']),
+    )
+
+
+def _change(event: dict[str, Any]) -> Change:
+    removed = bool(event.get('deleted', False))
+    return Change(
+        key=event['key'],
+        value=None if removed else base64.b64decode(event['value']),
+        revision=int(event['revision']),
+    )
+
+
+def _put(write: Put) -> dict[str, Any]:
+    return {
+        'key': write.key,
+        'value': base64.b64encode(write.value).decode(),
+        'lease': write.lease,
+    }
--- a/src/dogwoodmast/settings.py
+++ b/src/dogwoodmast/settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import attrs
 
@@ -20,6 +20,9 @@
 
 if TYPE_CHECKING:
     import pathlib
+    from collections.abc import Callable
+
+_Settings = TypeVar('_Settings')
 
 
 class LogLevel(enum.StrEnum):
@@ -104,11 +107,20 @@
     :return: The settings.
     :raises InvalidInput: With every mistake that is found.
     """
+    return parse_settings(read_settings_text(path), str(path))
+
+
+def read_settings_text(path: pathlib.Path) -> str:
+    """Read the text of a settings file.
+
+    :param path: Path of the file.
+    :return: Its text.
+    :raises InvalidInput: If it cannot be read.
+    """
     try:
-        text = path.read_text(encoding='utf-8')
+        return path.read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
         raise InvalidInput(str(path), [UnreadableFile(str(error))]) from error
-    return parse_settings(text, str(path))
 
 
 def parse_settings(text: str, name: str) -> Settings:
@@ -119,26 +131,49 @@
     :return: The settings.
     :raises InvalidInput: With every mistake that is found.
     """
+    return check_settings(text, name, _read_settings)
+
+
+def check_settings(
+    text: str, name: str, read: Callable[[TableReader], _Settings]
+) -> _Settings:
+    """Read the text of a settings file and check it whole.
+
+    :param text: TOML text.
+    :param name: Name of the file, for messages.
+    :param read: Reader of the file's tables.
+    :return: What was read.
+    :raises InvalidInput: With every mistake that is found.
+    """
     try:
         source = TomlSource(text)
     except InvalidToml as mistake:
         raise InvalidInput(name, [mistake]) from None
     log = MistakeLog(source.document, source)
     root = TableReader(log, (), source.document)
-    settings = Settings(
-        vm=_read_vm(root),
+    settings = read(root)
+    root.finish()
+    log.raise_if_any(name)
+    return settings
+
+
+def _read_settings(root: TableReader) -> Settings:
+    return Settings(
+        vm=read_vm(root),
         listen=_read_listen(root),
         platform=_read_endpoint(root, 'platform'),
         vm_list=_read_endpoint(root, 'vm_list'),
         statsd=_read_statsd(root),
-        log=_read_log(root),
+        log=read_log(root),
     )
-    root.finish()
-    log.raise_if_any(name)
-    return settings
 
 
-def _read_vm(root: TableReader) -> VmSettings:
+def read_vm(root: TableReader) -> VmSettings:
+    """Read which VM the process runs.
+
+    :param root: Whole file.
+    :return: The settings.
+    """
     reader = root.read_table('vm', 'name and zone')
     settings = VmSettings(
         name=reader.read('name', Name()), zone=reader.read('zone', Name())
@@ -181,7 +216,12 @@
     return settings
 
 
-def _read_log(root: TableReader) -> LogSettings:
+def read_log(root: TableReader) -> LogSettings:
+    """Read the settings of the log.
+
+    :param root: Whole file.
+    :return: The settings.
+    """
     if not root.has('log'):
         root.allow('log')
         return LogSettings()
