--- a/src/dogwoodmast/direct/coordinator.py
+++ b/src/dogwoodmast/direct/coordinator.py
@@ -29,7 +29,7 @@
 
 TICK = 0.05
 """Pause between two looks at what has to be done, in seconds."""
-LOOK_INTERVAL = 0.2
+LOOK_INTERVAL = 0.25
 """Pause between two looks for a coordinator, in seconds."""
 RANK_DELAY = 0.15
 """Time by which each VM leaves the role to those before it, in seconds; a
--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -38,12 +38,14 @@
 
     from anyio.abc import TaskGroup
 
-REFRESH_INTERVAL = 0.2
+REFRESH_INTERVAL = 0.5
 """Pause between two looks at which targets are up, in seconds; entries that
 lapsed in an outage stop counting without a change that tells of it."""
 ROTATION_TIME = 3.0
 """Time for which a stopping VM still takes new connections, in seconds; the
 balancer asks once a second and needs two misses."""
+END_POLL = 0.1
+"""Pause between two looks whether requests still run, in seconds."""
 END_MARGIN = 0.4
 """Time before the process is killed at which it ends by itself, in seconds."""
 LEAST_IDLE_TIME = 15
@@ -96,6 +98,7 @@
             self._gateway, settings.listen.callers, LEAST_IDLE_TIME
         )
         self._known: dict[str, bool] = {}
+        self._changed = anyio.Event()
 
     async def run(self) -> None:
         """Serve until the process is told to stop."""
@@ -147,6 +150,7 @@
         reporter = LoadReporter(
             vm.name, self._view, self._directory, self._links
         )
+        sync.subscribe(self._on_changes)
         for part in (sync, reporter, coordinator):
             part.register(self._handlers)
         self._add_gauges()
@@ -174,7 +178,13 @@
                 self._tell_targets(
                     {name: one.leaving for name, one in targets.items()}
                 )
-            await anyio.sleep(REFRESH_INTERVAL)
+            changed = self._changed
+            with anyio.move_on_after(REFRESH_INTERVAL):
+                await changed.wait()
+
+    def _on_changes(self, _keys: list[str]) -> None:
+        changed, self._changed = self._changed, anyio.Event()
+        changed.set()
 
     def _tell_targets(self, current: dict[str, bool]) -> None:
         known, self._known = self._known, current
@@ -233,12 +243,12 @@
         tasks.start_soon(registration.leave)
         stop_time = self._bounds.stop_time - END_MARGIN
         await anyio.sleep(min(ROTATION_TIME, stop_time / 2))
-        self._server.should_exit = True
+        self._server.end()
         with anyio.move_on_after(stop_time - ROTATION_TIME):
             while self._gateway.running:
-                await anyio.sleep(REFRESH_INTERVAL)
+                await anyio.sleep(END_POLL)
             # Lets the last answers leave the socket's buffer.
-            await anyio.sleep(REFRESH_INTERVAL)
+            await anyio.sleep(END_POLL)
 
 
 def _silence_libraries() -> None:
--- a/src/dogwoodmast/direct/shard_reign.py
+++ b/src/dogwoodmast/direct/shard_reign.py
@@ -206,17 +206,11 @@
         :param tasks: Task group of the reign.
         """
         now = self._clock.monotonic()
-        self._loads.decay(now)
         self._deal_out(now)
         self._plan(now)
         for call in self._keeper.tick(now):
             tasks.start_soon(self._make, call)
-        capacities = self._capacities()
-        if not self._recording and self._has_free():
-            placed = self._planner.place_free(self._keeper, capacities, now)
-            if placed:
-                self._recording = True
-                tasks.start_soon(self._record, placed)
+        self._place_free(tasks, now)
         self._publish()
 
     async def aclose(self) -> None:
@@ -224,8 +218,16 @@
         for control in self._controls.values():
             await control.aclose()
 
-    def _has_free(self) -> bool:
-        return any(one.phase is Phase.FREE for one in self._keeper.pieces)
+    def _place_free(self, tasks: TaskGroup, now: float) -> None:
+        pieces = self._keeper.pieces
+        if self._recording or all(
+            one.phase is not Phase.FREE for one in pieces
+        ):
+            return
+        placed = self._planner.place_free(self._keeper, self._capacities(), now)
+        if placed:
+            self._recording = True
+            tasks.start_soon(self._record, placed)
 
     def _deal_out(self, now: float) -> None:
         usable = self._keeper.usable_targets(now)
@@ -237,6 +239,7 @@
         if now < self._planned_at + PLAN_INTERVAL or not self._keeper.pieces:
             return
         self._planned_at = now
+        self._loads.decay(now)
         moves = self._planner.plan_moves(self._keeper, self._capacities(), now)
         for move in moves:
             self._start_move(move)
--- a/src/dogwoodmast/entry_vm_parts.py
+++ b/src/dogwoodmast/entry_vm_parts.py
@@ -12,7 +12,7 @@
 from dogwoodmast.frames import PROTOCOL_VERSION, Hello
 from dogwoodmast.front_set import FrontSet
 from dogwoodmast.gateway import Gateway
-from dogwoodmast.http_server import make_http_server
+from dogwoodmast.http_server import HttpServer, make_http_server
 from dogwoodmast.knowledge import KnowledgeBase
 from dogwoodmast.knowledge_exchange import KnowledgeExchange
 from dogwoodmast.knowledge_spreader import KnowledgeSpreader
@@ -38,7 +38,6 @@
 if TYPE_CHECKING:
     from contextlib import AsyncExitStack
 
-    import uvicorn
     from anyio.abc import TaskGroup
 
     from dogwoodmast.settings import Settings
@@ -95,7 +94,7 @@
         return self._operator_api
 
     @property
-    def server(self) -> uvicorn.Server:
+    def server(self) -> HttpServer:
         """Server of callers."""
         return self._server
 
@@ -155,7 +154,7 @@
             planner=BalancingPlanner(),
         )
 
-    def _make_server(self) -> uvicorn.Server:
+    def _make_server(self) -> HttpServer:
         router = Router(
             self._settings.vm.name,
             self._clock,
--- a/src/dogwoodmast/http_server.py
+++ b/src/dogwoodmast/http_server.py
@@ -5,6 +5,7 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
+import anyio
 import uvicorn
 
 if TYPE_CHECKING:
@@ -24,6 +25,23 @@
 class HttpServer(uvicorn.Server):
     """Uvicorn server that leaves signals to the daemon."""
 
+    def __init__(self, config: uvicorn.Config) -> None:
+        """Create a server that is not yet started.
+
+        :param config: Its configuration.
+        """
+        super().__init__(config)
+        self._ended = anyio.Event()
+
+    async def main_loop(self) -> None:
+        """Wait until the daemon ends the server, without a regular tick."""
+        await self._ended.wait()
+
+    def end(self) -> None:
+        """Close idle connections and end once requests have ended."""
+        self.should_exit = True
+        self._ended.set()
+
     @contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Leave the signal handlers as they are."""
--- a/src/dogwoodmast/http_stream.py
+++ b/src/dogwoodmast/http_stream.py
@@ -8,8 +8,6 @@
 from __future__ import annotations
 
 import select
-import socket
-import struct
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -17,12 +15,11 @@
 from anyio.abc import SocketAttribute
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Iterable
 
     from anyio.abc import SocketStream
 
-_NO_LINGER = struct.pack('ii', 1, 0)
-
 
 class ExchangeStream(httpcore.AsyncNetworkStream):
     """TCP stream without time-outs of its own."""
@@ -60,12 +57,6 @@
         if buffer:
             self._unsent.append(buffer)
 
-    async def reset(self) -> None:
-        """Close the connection so that nothing unsent is delivered."""
-        raw = self._stream.extra(SocketAttribute.raw_socket)
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-        await self.aclose()
-
     async def aclose(self) -> None:
         """Close the connection."""
         await anyio.aclose_forcefully(self._stream)
