Send requests that wait for a target that left to look elsewhere

A request waited for its only target until its deadline after that target had refused it, or had left: the ticket could never be served.

--- a/src/dogwoodmast/direct/gate_set.py
+++ b/src/dogwoodmast/direct/gate_set.py
@@ -93,6 +93,7 @@
         }
         for gone in self._gates.keys() - present.keys():
             self._gates.pop(gone)
+            self._dismiss(f'target {gone[0]}')
             tasks.start_soon(self._pools.pop(gone).aclose)
         for life, target in present.items():
             if life not in self._gates:
@@ -165,8 +166,14 @@
         for pool in self._pools.values():
             await pool.aclose()
 
+    def _dismiss(self, label: str) -> None:
+        waiting = self._lines.pop(label, None)
+        if waiting is not None:
+            waiting.dismiss()
+
     def _line(self, label: str, gates: tuple[TargetGate, ...]) -> Line | None:
         if not gates:
+            self._dismiss(label)
             return None
         waiting = self._lines.setdefault(label, WaitingLine())
         return Line(gates, waiting)
--- a/src/dogwoodmast/direct/waiting_line.py
+++ b/src/dogwoodmast/direct/waiting_line.py
@@ -36,7 +36,7 @@
     gate: TargetGate | None = None
     """Target that has been given to it."""
     called: anyio.Event = attrs.field(factory=anyio.Event)
-    """Set once a target has been given to it."""
+    """Set once a target has been given to it, or it must look elsewhere."""
     left: bool = False
     """Whether it no longer waits."""
 
@@ -95,6 +95,15 @@
             ticket.left = True
             self._length -= 1
 
+    def dismiss(self) -> None:
+        """Send all requests away to look for another place."""
+        for _, _, ticket in self._heap:
+            if not ticket.left:
+                ticket.left = True
+                ticket.called.set()
+        self._heap.clear()
+        self._length = 0
+
     def serve(self, gate: TargetGate) -> bool:
         """Give a target's room to the first request that may have it.
 
