--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -44,8 +44,8 @@
 ROTATION_TIME = 3.0
 """Time for which a stopping VM still takes new connections, in seconds; the
 balancer asks once a second and needs two misses."""
-END_POLL = 0.1
-"""Pause between two looks whether requests still run, in seconds."""
+END_PAUSE = 0.1
+"""Pause before the process ends once nothing runs any more, in seconds."""
 END_MARGIN = 0.4
 """Time before the process is killed at which it ends by itself, in seconds."""
 LEAST_IDLE_TIME = 15
@@ -183,11 +183,13 @@
                 await changed.wait()
 
     def _on_changes(self, _keys: list[str]) -> None:
-        changed, self._changed = self._changed, anyio.Event()
+        changed = self._changed
+        self._changed = anyio.Event()
         changed.set()
 
     def _tell_targets(self, current: dict[str, bool]) -> None:
-        known, self._known = self._known, current
+        known = self._known
+        self._known = current
         for name in current.keys() - known.keys():
             log_event(Event.TARGET_LISTED, target=name)
         for name in known.keys() - current.keys():
@@ -245,10 +247,9 @@
         await anyio.sleep(min(ROTATION_TIME, stop_time / 2))
         self._server.end()
         with anyio.move_on_after(stop_time - ROTATION_TIME):
-            while self._gateway.running:
-                await anyio.sleep(END_POLL)
+            await self._gateway.await_idle()
             # Lets the last answers leave the socket's buffer.
-            await anyio.sleep(END_POLL)
+            await anyio.sleep(END_PAUSE)
 
 
 def _silence_libraries() -> None:
--- a/src/dogwoodmast/direct/directory.py
+++ b/src/dogwoodmast/direct/directory.py
@@ -31,6 +31,8 @@
 """Key of the entry VM that grants keys to targets."""
 SHARD_PREFIX = 'dogwoodmast/shards/'
 """Keys of the assignments, one a service."""
+OLDEST_AGE = 1e6
+"""Age that is told of a copy that was never confirmed, in seconds."""
 RETURN_TIME = 2.0
 """Time after an outage of the store in which entries that lapsed during it
 come back, in seconds; a bound of the platform."""
@@ -56,7 +58,7 @@
     """What the value says, or ``None`` if it cannot be used."""
     removed: bool = False
     """Whether the key has no value any more."""
-    doubtful_until: float = 0.0
+    doubtful_until: float = 0
     """Time until which a removal may be taken back, in seconds on the
     steady clock."""
 
@@ -210,12 +212,14 @@
                 entry.revision,
                 entry.removed,
                 entry.content,
-                max(0.0, entry.doubtful_until - now),
+                max(0, entry.doubtful_until - now),
             )
             for entry in self._entries.values()
             if entry.revision > after
         )
-        return DirectoryPage(self._revision, min(self.age(now), 1e9), items)
+        return DirectoryPage(
+            self._revision, min(self.age(now), OLDEST_AGE), items
+        )
 
     def on_page(
         self, page: DirectoryPage, asked_at: float, now: float
--- a/src/dogwoodmast/direct/directory_sync.py
+++ b/src/dogwoodmast/direct/directory_sync.py
@@ -118,7 +118,7 @@
         return StoreSource()
 
     def _is_suspect(self, name: str, now: float) -> bool:
-        return now < self._suspects.get(name, 0.0)
+        return now < self._suspects.get(name, 0)
 
 
 class DirectorySync:
--- a/src/dogwoodmast/direct/dispatcher.py
+++ b/src/dogwoodmast/direct/dispatcher.py
@@ -183,13 +183,15 @@
     ) -> TargetGate | Rejected | None:
         """Find a place, or ``None`` if the targets changed meanwhile."""
         call = progress.call
-        if call.shard_key is None:
-            line = self._gates.service_line(call.service)
-        else:
-            line = await self._find_holder(progress)
+        is_free = call.shard_key is None
+        line = (
+            self._gates.service_line(call.service)
+            if is_free
+            else await self._find_holder(progress)
+        )
         if line is None:
             return self._refuse(progress, ProblemType.NO_OWNER, KEY_RETURN)
-        tried = frozenset() if call.shard_key is not None else progress.tried
+        tried = progress.tried if is_free else frozenset()
         if all(gate.target.name in tried for gate in line.gates):
             return self._give_up(progress, ProblemType.OVERLOADED)
         gate = self._gates.choose(line, tried)
@@ -200,24 +202,25 @@
 
     async def _find_holder(self, progress: Progress) -> Line | None:
         """Wait for a target that holds the key."""
-        call = progress.call
-        assert call.shard_key is not None
-        pace_left = (call.deadline - self._clock.monotonic()) / 2
-        with anyio.move_on_after(min(KEY_WAIT, pace_left)):
-            while True:
+        left = progress.call.deadline - self._clock.monotonic()
+        line: Line | None = None
+        with anyio.move_on_after(min(KEY_WAIT, left / 2)):
+            while line is None:
                 changed = self._shards.changed
-                held = self._shards.table(call.service).find(call.shard_key)
-                if held is not None and held.open:
-                    line = self._gates.target_line(held.target, held.born)
-                    if line is not None and not self._was_refused(
-                        progress, held.target
-                    ):
-                        return line
-                await changed.wait()
-        return None
+                line = self._holder_line(progress)
+                if line is None:
+                    await changed.wait()
+        return line
 
-    def _was_refused(self, progress: Progress, target: str) -> bool:
-        return target in progress.tried and isinstance(progress.last, Refused)
+    def _holder_line(self, progress: Progress) -> Line | None:
+        call = progress.call
+        assert call.shard_key is not None
+        held = self._shards.table(call.service).find(call.shard_key)
+        if held is None or not held.open:
+            return None
+        if held.target in progress.tried and isinstance(progress.last, Refused):
+            return None
+        return self._gates.target_line(held.target, held.born)
 
     async def _wait(
         self, progress: Progress, line: Line, tried: frozenset[str]
--- a/src/dogwoodmast/direct/gate_set.py
+++ b/src/dogwoodmast/direct/gate_set.py
@@ -102,7 +102,7 @@
             service = table.services.get(target.service)
             connections = service.max_connections if service else 0
             highest = highest_limit(target.slots, connections, vms)
-            self._gates[life].set_highest(highest)
+            self._gates[life].bound_limit(highest)
 
     def service_line(self, service: str) -> Line | None:
         """Find the line of a service whose targets are all alike.
@@ -158,8 +158,8 @@
             return
         for label in (f'target {target.name}', f'service {target.service}'):
             waiting = self._lines.get(label)
-            while waiting and gate.has_room and waiting.serve(gate):
-                continue
+            if waiting is not None:
+                waiting.serve_all(gate)
 
     async def aclose(self) -> None:
         """Close all idle connections."""
--- a/src/dogwoodmast/direct/gateway.py
+++ b/src/dogwoodmast/direct/gateway.py
@@ -4,12 +4,12 @@
 
 import random
 from http import HTTPStatus
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import anyio
 import attrs
 
-from dogwoodmast._asgi import send_answer
+from dogwoodmast._asgi import Send, send_answer
 from dogwoodmast.clock import Clock
 from dogwoodmast.direct.attempt import CONNECTION_HEADERS
 from dogwoodmast.direct.call import Call, Rejected, Reply
@@ -27,7 +27,9 @@
 from dogwoodmast.problem import Problem, ProblemType
 
 if TYPE_CHECKING:
-    from dogwoodmast._asgi import RawHeaders, Receive, Scope, Send
+    from collections.abc import MutableMapping
+
+    from dogwoodmast._asgi import RawHeaders, Receive, Scope
     from dogwoodmast.direct.call import Delivered
     from dogwoodmast.direct.catalog import Route, RouteTable
 
@@ -67,6 +69,7 @@
     _chance: random.Random = attrs.field(factory=random.Random)
     _buffered: int = 0
     _running: int = 0
+    _idle: anyio.Event = attrs.field(factory=anyio.Event)
 
     @property
     def running(self) -> int:
@@ -89,6 +92,14 @@
             await self._serve(scope, receive, send)
         finally:
             self._running -= 1
+            if not self._running:
+                self._idle.set()
+
+    async def await_idle(self) -> None:
+        """Wait until no request is being served."""
+        while self._running:
+            self._idle = anyio.Event()
+            await self._idle.wait()
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         arrived = self._clock.monotonic()
@@ -151,48 +162,54 @@
     ) -> None:
         trace = Trace(table.version, self._directory.age(call.arrived))
         end: Rejected | Delivered | None = None
-        began = False
-
-        async def deliver(reply: Reply) -> None:
-            nonlocal began
-            began = True
-            await self._send_reply(send, call, reply)
-
+        delivery = _Delivery(self, call, send)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(_watch_caller, receive, tasks.cancel_scope)
-                end = await self._dispatcher.run(call, deliver, trace)
+                end = await self._dispatcher.run(call, delivery, trace)
                 tasks.cancel_scope.cancel()
-            if isinstance(end, Rejected) and not began:
+            if isinstance(end, Rejected) and not delivery.has_begun:
                 await self._send_problem(send, end.problem)
         finally:
-            trace.on_end(end)
-            seconds = self._clock.monotonic() - call.arrived
-            self._meters.on_end(call, end, seconds)
-            self._log.write(trace, call, seconds)
+            self._on_end(call, trace, end)
+
+    def _on_end(
+        self, call: Call, trace: Trace, end: Rejected | Delivered | None
+    ) -> None:
+        trace.on_end(end)
+        seconds = self._clock.monotonic() - call.arrived
+        self._meters.on_end(call, end, seconds)
+        self._log.write(trace, call, seconds)
 
     async def _read_body(self, receive: Receive, limit: int) -> bytes:
         body = bytearray()
-        counted = 0
+        has_more = True
         try:
-            while True:
+            while has_more:
                 message = await receive()
-                if message['type'] == 'http.disconnect':
-                    raise CallerLeft
-                body += message.get('body', b'')
-                self._buffered += len(body) - counted
-                counted = len(body)
-                if counted > limit:
-                    raise BodyTooLarge
-                if self._buffered > BUFFER_SIZE:
-                    raise BuffersFull
-                if not message.get('more_body', False):
-                    return bytes(body)
+                piece = _body_piece(message)
+                body += piece
+                self._buffered += len(piece)
+                self._check_size(len(body), limit)
+                has_more = message.get('more_body', False)
         except BaseException:
-            self._buffered -= counted
+            self._buffered -= len(body)
             raise
+        return bytes(body)
+
+    def _check_size(self, size: int, limit: int) -> None:
+        if size > limit:
+            raise BodyTooLarge
+        if self._buffered > BUFFER_SIZE:
+            raise BuffersFull
 
-    async def _send_reply(self, send: Send, call: Call, reply: Reply) -> None:
+    async def send_reply(self, send: Send, call: Call, reply: Reply) -> None:
+        """Pass a target's answer on.
+
+        :param send: ASGI send callable.
+        :param call: What the caller asked for.
+        :param reply: The answer.
+        """
         headers = list(reply.headers)
         is_bodiless = call.method == b'HEAD' or reply.status in _WITHOUT_BODY
         if reply.rest is None and not is_bodiless:
@@ -232,6 +249,27 @@
         return [(b'connection', b'close')] if self.leaving else []
 
 
+@attrs.define(eq=False)
+class _Delivery:
+    """Way of a target's answer to the caller."""
+
+    _gateway: DirectGateway
+    _call: Call
+    _send: Send
+    has_begun: bool = False
+
+    async def __call__(self, reply: Reply) -> None:
+        self.has_begun = True
+        await self._gateway.send_reply(self._send, self._call, reply)
+
+
+def _body_piece(message: MutableMapping[str, Any]) -> bytes:
+    if message['type'] == 'http.disconnect':
+        raise CallerLeft
+    piece: bytes = message.get('body', b'')
+    return piece
+
+
 async def _send_piece(send: Send, piece: bytes) -> None:
     await send({'type': 'http.response.body', 'body': piece, 'more_body': True})
 
--- a/src/dogwoodmast/direct/leadership.py
+++ b/src/dogwoodmast/direct/leadership.py
@@ -95,14 +95,14 @@
         while self.reign is reign:
             asked_at = self._clock.monotonic()
             try:
-                with anyio.move_on_after(LEASE_TTL / 2):
-                    if not await self._store.keep_lease(reign.lease):
-                        break
-                    self._extend(asked_at)
+                stands = await self._store.keep_lease(reign.lease)
             except PlatformError as error:
                 log_event(Event.RENEWAL_FAILED, reason=error.message)
                 await anyio.sleep(RENEWAL_RETRY)
                 continue
+            if not stands:
+                break
+            self._extend(asked_at)
             await anyio.sleep(RENEWAL_INTERVAL)
         self._end()
 
--- a/src/dogwoodmast/direct/messages.py
+++ b/src/dogwoodmast/direct/messages.py
@@ -6,8 +6,10 @@
 
 from dogwoodmast._wire import wire_message
 
+_IDL = 'direct'
 
-@wire_message('direct')
+
+@wire_message(_IDL)
 @attrs.frozen
 class VmRecord:
     """An entry VM that is up."""
@@ -22,7 +24,7 @@
     """Identity of the process's life."""
 
 
-@wire_message('direct')
+@wire_message(_IDL)
 @attrs.frozen
 class DirectoryItem:
     """One key of the store as an entry VM knows it."""
@@ -39,7 +41,7 @@
     """Time for which a removal may yet be taken back, in seconds."""
 
 
-@wire_message('direct')
+@wire_message(_IDL)
 @attrs.frozen
 class DirectoryPull:
     """Question for the keys that have changed."""
@@ -48,7 +50,7 @@
     """Store revision that the asking VM has."""
 
 
-@wire_message('direct')
+@wire_message(_IDL)
 @attrs.frozen
 class DirectoryPage:
     """Keys that have changed."""
@@ -61,7 +63,7 @@
     """Changed keys."""
 
 
-@wire_message('direct')
+@wire_message(_IDL)
 @attrs.frozen
 class ShardAssignment:
     """Range of keys and the target that holds it."""
@@ -80,7 +82,7 @@
     """Whether requests may be sent; false while the keys move."""
 
 
-@wire_message('direct')
+@wire_message(_IDL)
 @attrs.frozen
 class ShardRecord:
     """All assignments of a service, as the store keeps them."""
@@ -95,7 +97,7 @@
     """Assignments in the order of their keys."""
 
 
-@wire_message('direct')
+@wire_message(_IDL)
 @attrs.frozen
 class ShardUpdate:
     """Assignments that a coordinator tells an entry VM of."""
@@ -112,7 +114,7 @@
     """Changed or all assignments."""
 
 
-@wire_message('direct')
+@wire_message(_IDL)
 @attrs.frozen
 class ShardVersion:
     """Version of a table that an entry VM has."""
@@ -125,7 +127,7 @@
     """Number of the version within the reign."""
 
 
-@wire_message('direct')
+@wire_message(_IDL)
 @attrs.frozen
 class KeyCount:
     """Requests for one key."""
@@ -136,7 +138,7 @@
     """Requests since the last report."""
 
 
-@wire_message('direct')
+@wire_message(_IDL)
 @attrs.frozen
 class LoadReport:
     """What an entry VM has been asked for, and the table that it has."""
--- a/src/dogwoodmast/direct/settings.py
+++ b/src/dogwoodmast/direct/settings.py
@@ -22,7 +22,8 @@
 
     from dogwoodmast.table_reader import TableReader
 
-_POSITIVE = Number(0, 1e6, '', closed=True)
+_LARGEST_BOUND = 1_000_000
+_POSITIVE = Number(0, _LARGEST_BOUND, '', closed=True)
 
 
 @attrs.frozen
--- a/src/dogwoodmast/direct/shard_keeper.py
+++ b/src/dogwoodmast/direct/shard_keeper.py
@@ -29,7 +29,7 @@
 
 KEY_COUNT = 65_536
 """Keys of a service."""
-FENCES_PER_EPOCH = 2**20
+FENCES_PER_EPOCH = 1_048_576
 """Fencing tokens that one reign can give out; the reign's own number is a
 store revision, so that a token stays below 2**53 for 2**33 revisions."""
 CLOCK_DRIFT = 0.02
@@ -190,7 +190,8 @@
 
         :return: Ranges whose holder or state changed.
         """
-        changed, self._changed = self._changed, []
+        changed = self._changed
+        self._changed = []
         return changed
 
     def assign(self, piece: Piece, target: Target) -> None:
--- a/src/dogwoodmast/direct/shard_planner.py
+++ b/src/dogwoodmast/direct/shard_planner.py
@@ -33,9 +33,13 @@
 MIN_EXCESS = 2.0
 """Requests a second over the mean below which nothing moves; what the noise
 of a second's count comes to."""
+FORGOTTEN_RATE = 0.01
+"""Requests a second below which a key is no longer followed."""
 MAX_CUT = 1.2
 """Size of a moved range over the excess that it is to take away."""
 
+_END = (math.inf, 0)
+
 
 @attrs.frozen
 class Move:
@@ -58,7 +62,7 @@
     half_life: float
     """Time after which a count is worth half, in seconds."""
     _rates: dict[int, float] = attrs.field(factory=dict)
-    _seen_at: float = 0.0
+    _seen_at: float = 0
 
     def add(self, counts: Iterable[tuple[int, float]]) -> None:
         """Count requests.
@@ -67,7 +71,7 @@
         """
         factor = math.log(2) / self.half_life
         for key, count in counts:
-            self._rates[key] = self._rates.get(key, 0.0) + count * factor
+            self._rates[key] = self._rates.get(key, 0) + count * factor
 
     def decay(self, now: float) -> None:
         """Let what was counted fade.
@@ -80,7 +84,7 @@
         self._rates = {
             key: rate * keep
             for key, rate in self._rates.items()
-            if rate * keep > _FORGOTTEN
+            if rate * keep > FORGOTTEN_RATE
         }
 
     def by_piece(self, pieces: Iterable[Piece]) -> dict[int, float]:
@@ -91,12 +95,12 @@
         """
         sums: dict[int, float] = {}
         keys = iter(sorted(self._rates.items()))
-        key, rate = next(keys, (math.inf, 0.0))
+        key, rate = next(keys, _END)
         for piece in pieces:
-            total = 0.0
+            total: float = 0
             while key <= piece.last:
                 total += rate
-                key, rate = next(keys, (math.inf, 0.0))
+                key, rate = next(keys, _END)
             sums[piece.first] = total
         return sums
 
@@ -107,18 +111,14 @@
         :param amount: Requests a second that the lower part is to have.
         :return: First key of the upper part, or ``None`` if one key has all.
         """
-        total = 0.0
+        total: float = 0
         for key in range(piece.first, piece.last):
-            total += self._rates.get(key, 0.0)
+            total += self._rates.get(key, 0)
             if total >= amount:
                 return key + 1
         return None
 
 
-_FORGOTTEN = 0.01
-"""Requests a second below which a key is no longer followed."""
-
-
 @attrs.define
 class ShardPlanner:
     """Chooses targets for free ranges, and ranges to move."""
@@ -168,20 +168,15 @@
         rates = self.loads.by_piece(keeper.pieces)
         usage = _usage(keeper, rates, capacities)
         mean = sum(rates.values()) / sum(capacities[one] for one in usable)
-        order = sorted(usable, key=lambda one: usage[one].share)
-        pairs = zip(order, reversed(order), strict=False)
         moves: list[Move] = []
-        for goal, source in list(pairs)[: min(room, len(order) // 2)]:
+        for goal, source in _pairs(usable, usage)[:room]:
             excess = min(
                 (usage[source].share - mean) * capacities[source],
                 (mean - usage[goal].share) * capacities[goal],
             )
-            if usage[source].share < mean * UNEVENNESS or excess < MIN_EXCESS:
-                break
-            held = _held_by(keeper, source)
-            move = self._choose(held, rates, excess, goal)
-            if move is not None:
-                moves.append(move)
+            if usage[source].share >= mean * UNEVENNESS and excess > MIN_EXCESS:
+                held = _held_by(keeper, source)
+                moves.extend(self._choose(held, rates, excess, goal))
         return moves
 
     def _choose(
@@ -190,35 +185,32 @@
         rates: Mapping[int, float],
         excess: float,
         goal: str,
-    ) -> Move | None:
+    ) -> list[Move]:
+        """Choose the range whose load is nearest to the excess."""
+        loaded = [(rates[one.first], one) for one in held if rates[one.first]]
         fitting = [
-            one
-            for one in held
-            if excess / 3 <= rates[one.first] <= excess * MAX_CUT
+            pair for pair in loaded if excess / 3 <= pair[0] <= excess * MAX_CUT
         ]
-        if fitting:
-            best = max(fitting, key=lambda one: rates[one.first])
-            return Move(best, best.first, best.last, goal)
-        larger = [one for one in held if rates[one.first] > excess]
-        if not larger or len(held) >= MAX_PIECES_PER_TARGET:
-            small = [one for one in held if 0 < rates[one.first] < excess]
-            if not small:
-                return None
-            best = max(small, key=lambda one: rates[one.first])
-            return Move(best, best.first, best.last, goal)
-        piece = max(larger, key=lambda one: rates[one.first])
-        return self._cut(piece, rates[piece.first], excess, goal)
+        larger = [pair for pair in loaded if pair[0] > excess]
+        if not fitting and larger and len(held) < MAX_PIECES_PER_TARGET:
+            rate, piece = max(larger, key=_rate_of)
+            return self._cut(piece, rate, excess, goal)
+        smaller = [pair for pair in loaded if pair[0] <= excess * MAX_CUT]
+        if not smaller:
+            return []
+        _, piece = max(smaller, key=_rate_of)
+        return [Move(piece, piece.first, piece.last, goal)]
 
     def _cut(
         self, piece: Piece, rate: float, excess: float, goal: str
-    ) -> Move | None:
+    ) -> list[Move]:
         lower = self.loads.cut(piece, excess)
+        if lower is not None:
+            return [Move(piece, piece.first, lower - 1, goal)]
         upper = self.loads.cut(piece, rate - excess)
-        if lower is not None and lower <= piece.last:
-            return Move(piece, piece.first, lower - 1, goal)
-        if upper is not None and upper <= piece.last:
-            return Move(piece, upper, piece.last, goal)
-        return None
+        if upper is not None:
+            return [Move(piece, upper, piece.last, goal)]
+        return []
 
 
 @attrs.frozen
@@ -232,7 +224,7 @@
     rates: Mapping[int, float],
     capacities: Mapping[str, float],
 ) -> dict[str, _Usage]:
-    usage = {name: _Usage(0.0, 0) for name in keeper.targets}
+    usage = {name: _Usage(0, 0) for name in keeper.targets}
     for piece in keeper.pieces:
         name = piece.goal or piece.target
         if name in usage and piece.phase is not Phase.FREE:
@@ -254,6 +246,19 @@
     return usable[name]
 
 
+def _rate_of(pair: tuple[float, Piece]) -> float:
+    return pair[0]
+
+
+def _pairs(
+    usable: Iterable[str], usage: Mapping[str, _Usage]
+) -> list[tuple[str, str]]:
+    """Pair the least used targets with the most used ones."""
+    order = sorted(usable, key=lambda one: (usage[one].share, one))
+    half = len(order) // 2
+    return list(zip(order[:half], reversed(order[-half:]), strict=True))
+
+
 def _held_by(keeper: ShardKeeper, name: str) -> list[Piece]:
     return [
         piece
--- a/src/dogwoodmast/direct/shard_reign.py
+++ b/src/dogwoodmast/direct/shard_reign.py
@@ -335,5 +335,6 @@
 
     def _publish(self) -> None:
         if self._log.add(self._keeper.take_changed()):
-            news, self._news = self._news, anyio.Event()
+            news = self._news
+            self._news = anyio.Event()
             news.set()
--- a/src/dogwoodmast/direct/shard_table.py
+++ b/src/dogwoodmast/direct/shard_table.py
@@ -78,7 +78,7 @@
         """
         if not self.is_older_than(update.epoch, update.number):
             return True
-        if not update.base:
+        if update.base == 0:
             self.replace(update.assignments)
         elif update.epoch == self.epoch and update.base <= self.number:
             self.overlay(update.assignments)
--- a/src/dogwoodmast/direct/shard_view.py
+++ b/src/dogwoodmast/direct/shard_view.py
@@ -63,7 +63,7 @@
         :param key: Shard key.
         """
         counts = self._counts.setdefault(service, {})
-        counts[key] = counts.get(key, 0.0) + 1
+        counts[key] = counts.get(key, 0) + 1
 
     def take_counts(self, service: str) -> dict[int, float]:
         """Take the requests counted since the last time.
@@ -106,7 +106,8 @@
             self._tell()
 
     def _tell(self) -> None:
-        changed, self._changed = self._changed, anyio.Event()
+        changed = self._changed
+        self._changed = anyio.Event()
         changed.set()
 
 
--- a/src/dogwoodmast/direct/target_connection.py
+++ b/src/dogwoodmast/direct/target_connection.py
@@ -19,12 +19,12 @@
 import attrs
 import httptools
 
+from dogwoodmast._asgi import RawHeaders
 from dogwoodmast.errors import ConnectFailed, ExchangeAborted
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from dogwoodmast._asgi import RawHeaders
     from dogwoodmast.address import Address
 
 CONNECT_TIMEOUT = 0.5
@@ -166,6 +166,15 @@
         self._exchange = None
         self._is_spoiled = self._is_spoiled or not exchange.may_go_on
 
+    async def skip_body(self) -> None:
+        """Read the rest of the answer without keeping it.
+
+        :raises ExchangeAborted: If the connection broke.
+        """
+        pieces = self.read_body()
+        while await anext(pieces, None) is not None:
+            pass
+
     async def aclose(self) -> None:
         """Close the connection."""
         self._transport.close()
@@ -289,7 +298,8 @@
     def on_headers_complete(self) -> None:
         """Take the end of the headers."""
         status = self._parser.get_status_code()
-        headers, self._headers = self._headers, []
+        headers = self._headers
+        self._headers = []
         if self.is_whole or status < _FIRST_FINAL:
             return
         names = {name for name, _ in headers}
@@ -322,7 +332,8 @@
         self.may_go_on = self._parser.should_keep_alive()
 
     def _wake(self) -> None:
-        waiter, self._waiter = self._waiter, None
+        waiter = self._waiter
+        self._waiter = None
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
 
--- a/src/dogwoodmast/direct/target_control.py
+++ b/src/dogwoodmast/direct/target_control.py
@@ -87,8 +87,7 @@
         self, connection: TargetConnection, outgoing: Outgoing
     ) -> ControlResult:
         head = await connection.start(outgoing)
-        async for _ in connection.read_body():
-            continue
+        await connection.skip_body()
         match head.status:
             case HTTPStatus.OK:
                 fields = read_reply_fields(head.headers)
--- a/src/dogwoodmast/direct/target_gate.py
+++ b/src/dogwoodmast/direct/target_gate.py
@@ -47,8 +47,8 @@
     """Requests at a time that the target is given."""
     pace: float = FIRST_PACE
     """Mean time of an answer, in seconds."""
-    _usual: float = 0.0
-    _highest: float = 0.0
+    _usual: float = 0
+    _highest: float = FIRST_LIMIT
     _failures: int = 0
     _shunned_until: float = float('-inf')
 
@@ -70,7 +70,7 @@
         """
         return now < self._shunned_until
 
-    def set_highest(self, highest: float) -> None:
+    def bound_limit(self, highest: float) -> None:
         """Bound the limit.
 
         :param highest: Requests at a time that must not be passed.
--- a/src/dogwoodmast/direct/trace.py
+++ b/src/dogwoodmast/direct/trace.py
@@ -43,12 +43,14 @@
         """
         second = int(time.monotonic())
         if second != self._second:
-            self._second, self._written = second, 0
+            self._second = second
+            self._written = 0
         if self._written >= self._highest:
             self._left_out += 1
             return None
         self._written += 1
-        left_out, self._left_out = self._left_out, 0
+        left_out = self._left_out
+        self._left_out = 0
         return left_out
 
 
--- a/src/dogwoodmast/direct/vm_registration.py
+++ b/src/dogwoodmast/direct/vm_registration.py
@@ -56,7 +56,8 @@
 
     async def leave(self) -> None:
         """Take the record out of the store."""
-        lease, self._lease = self._lease, 0
+        lease = self._lease
+        self._lease = 0
         if not lease:
             return
         try:
--- a/src/dogwoodmast/direct/waiting_line.py
+++ b/src/dogwoodmast/direct/waiting_line.py
@@ -104,6 +104,15 @@
         self._heap.clear()
         self._length = 0
 
+    def serve_all(self, gate: TargetGate) -> None:
+        """Give a target's room away while some wait for it.
+
+        :param gate: Target.
+        """
+        is_wanted = True
+        while is_wanted and self._length and gate.has_room:
+            is_wanted = self.serve(gate)
+
     def serve(self, gate: TargetGate) -> bool:
         """Give a target's room to the first request that may have it.
 
@@ -148,4 +157,4 @@
     :return: Time in seconds; callers heed up to a third of what is left.
     """
     spread = 1 + RETURN_SPREAD * point
-    return min(max(wait, SHORTEST_RETURN) * spread, max(left, 0.0) / 3)
+    return min(max(wait, SHORTEST_RETURN) * spread, max(left, 0) / 3)
--- a/src/dogwoodmast/platform/documents.py
+++ b/src/dogwoodmast/platform/documents.py
@@ -114,7 +114,11 @@
     texts = (document['service'], document['zone'], document['address'])
     return (
         bool(name)
-        and all(type(one) is int for one in numbers)
+        and all(_is_whole(one) for one in numbers)
         and all(isinstance(one, str) for one in texts)
         and numbers[0] > 0
     )
+
+
+def _is_whole(found: object) -> bool:
+    return isinstance(found, int) and not isinstance(found, bool)
--- a/tests/grant_world.py
+++ b/tests/grant_world.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Callable
 
 import attrs
 
@@ -24,9 +24,6 @@
 )
 from dogwoodmast.direct.shard_piece import Phase, Piece
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
 SERVICE = 'balance'
 HOLD = 6.0
 KEYS = 4
@@ -171,7 +168,8 @@
             for call in keeper.tick(self.now):
                 piece = call.piece
                 keys = range(piece.first, piece.last + 1)
-                self.pending.append(Pending(reign, call, keys, self.now))
+                order = Pending(reign, call, keys, self.now)
+                self.pending.append(order)
 
     def answer(self, pending: Pending) -> None:
         """Carry a call out and give its answer."""
--- a/tests/metadata_store.py
+++ b/tests/metadata_store.py
@@ -108,7 +108,8 @@
                 self.events.append(
                     {'key': key, 'revision': self.revision, 'deleted': True}
                 )
-        changed, self.changed = self.changed, anyio.Event()
+        changed = self.changed
+        self.changed = anyio.Event()
         changed.set()
         return self.revision
 
@@ -133,7 +134,7 @@
 
     content: StoreContent
     fault: StoreFault = StoreFault.NONE
-    delay: float = 0.0
+    delay: float = 0
     calls: list[str] = attrs.field(factory=list)
 
     async def __call__(
--- a/tests/platform_target.py
+++ b/tests/platform_target.py
@@ -37,7 +37,7 @@
 
     name: str
     sharded: bool = False
-    work: float = 0.0
+    work: float = 0
     size: int = 200
     fault: TargetFault = TargetFault.NONE
     runs: list[str] = attrs.field(factory=list)
@@ -68,7 +68,7 @@
 
     def holds(self, key: int) -> bool:
         """Tell whether it may run requests for a key."""
-        _, until = self.grants.get(key, (0, 0.0))
+        _, until = self.grants.get(key, (0, 0))
         return time.monotonic() < until
 
     async def _grant(self, order: dict[str, Any], send: Send) -> None:
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -6,7 +6,14 @@
 import httpcore
 import orjson
 import pytest
-from direct_fleet import DirectFleet, configuration, direct_fleet, is_ready, route
+
+from direct_fleet import (
+    DirectFleet,
+    configuration,
+    direct_fleet,
+    is_ready,
+    route,
+)
 from metadata_store import StoreFault
 from platform_target import PlatformTarget, TargetFault
 
