Share keys out by what targets can run, several moves at a time

Targets differ in speed by three, keys were shared by slots alone, one range moved a source and look, and lines let requests wait until their deadline. Ruled out: processor time (0.06 of a core).

Now entry VMs report the usual pace of targets, the planner works down the most used target again and again within a look, and a line is kept to half of the objective.

--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -148,7 +148,7 @@
             self._clock,
         )
         reporter = LoadReporter(
-            vm.name, self._view, self._directory, self._links
+            vm.name, self._view, self._gates, self._directory, self._links
         )
         sync.subscribe(self._on_changes)
         for part in (sync, reporter, coordinator):
--- a/src/dogwoodmast/direct/dispatcher.py
+++ b/src/dogwoodmast/direct/dispatcher.py
@@ -38,9 +38,6 @@
 KEY_RETURN = 0.3
 """Time after which a caller is told to return if its key has no holder, in
 seconds; half of the time that a move may take."""
-LINE_SHARE = 0.9
-"""Part of the time left within which an answer must be expected for a
-request to wait; the rest covers the estimate's error."""
 RETRY_SHARE = 1.0
 """Time left over the usual time of an answer from which a further attempt
 is worth while."""
@@ -228,7 +225,8 @@
         call = progress.call
         wait = (line.waiting.ahead_of(call.route.priority) + 1) / line.rate
         left = call.deadline - self._clock.monotonic()
-        if not is_in_time(wait, line.pace, left * LINE_SHARE):
+        objective = call.route.objective
+        if not is_in_time(wait, line.pace, left, objective):
             progress.trace.on_wait(len(line.waiting), wait)
             return self._refuse(progress, ProblemType.OVERLOADED, wait)
         ticket = Ticket(call.route.priority, call.deadline, tried)
--- a/src/dogwoodmast/direct/gate_set.py
+++ b/src/dogwoodmast/direct/gate_set.py
@@ -139,6 +139,18 @@
         now = self._clock.monotonic()
         return choose_gate(gates, self.zone, now, self._chance)
 
+    def usual_paces(self, service: str) -> dict[str, float]:
+        """Tell how fast the targets of a service answer.
+
+        :param service: Name of the service.
+        :return: Usual times in seconds by the names of targets.
+        """
+        return {
+            gate.target.name: gate.usual
+            for gate in self._gates.values()
+            if gate.target.service == service and gate.usual
+        }
+
     def pool(self, gate: TargetGate) -> ConnectionPool | None:
         """Find the connections to a target.
 
--- a/src/dogwoodmast/direct/messages.py
+++ b/src/dogwoodmast/direct/messages.py
@@ -138,6 +138,17 @@
     """Requests since the last report."""
 
 
+@wire_message(_IDL)
+@attrs.frozen
+class TargetPace:
+    """How fast a target answers when it is not crowded."""
+
+    target: str
+    """Name of the target."""
+    seconds: float
+    """Usual time of its answers, in seconds."""
+
+
 @wire_message(_IDL)
 @attrs.frozen
 class LoadReport:
@@ -153,3 +164,5 @@
     """Number of its table."""
     keys: tuple[KeyCount, ...]
     """Requests by key since the last report."""
+    paces: tuple[TargetPace, ...]
+    """Usual times of the service's targets."""
--- a/src/dogwoodmast/direct/shard_planner.py
+++ b/src/dogwoodmast/direct/shard_planner.py
@@ -25,7 +25,7 @@
 """Ranges that a target gets at first; each costs a call a renewal."""
 MAX_PIECES_PER_TARGET = 20
 """Ranges a target up to which they are cut further."""
-MOVES_AT_ONCE = 6
+MOVES_AT_ONCE = 12
 """Ranges that may move at the same time; their keys wait meanwhile."""
 UNEVENNESS = 1.25
 """Use of a target over the mean at which its keys move; lower than the room
@@ -41,20 +41,6 @@
 _END = (math.inf, 0)
 
 
-@attrs.frozen
-class Move:
-    """Range that is to go to another target."""
-
-    piece: Piece
-    """Range that it is taken from."""
-    first: int
-    """First key to move."""
-    last: int
-    """Last key to move."""
-    goal: str
-    """Name of the target."""
-
-
 @attrs.define
 class KeyLoads:
     """Requests a second by key, forgotten exponentially."""
@@ -99,7 +85,7 @@
         for piece in pieces:
             total: float = 0
             while key <= piece.last:
-                total += rate
+                total += rate if key >= piece.first else 0
                 key, rate = next(keys, _END)
             sums[piece.first] = total
         return sums
@@ -153,64 +139,103 @@
 
     def plan_moves(
         self, keeper: ShardKeeper, capacities: Mapping[str, float], now: float
-    ) -> list[Move]:
-        """Choose ranges to move away from the most used targets.
+    ) -> list[Piece]:
+        """Send ranges from the most used targets to the least used ones.
 
         :param keeper: Machine that follows the ranges.
         :param capacities: Requests a second that each target can run.
         :param now: Steady time in seconds.
-        :return: At most one move a target, none while enough are under way.
+        :return: Ranges that move from now on.
         """
         room = MOVES_AT_ONCE - sum(one.is_moving for one in keeper.pieces)
-        usable = {one.name for one in keeper.usable_targets(now)}
-        if room <= 0 or len(usable) < 2:
-            return []
-        rates = self.loads.by_piece(keeper.pieces)
-        usage = _usage(keeper, rates, capacities)
-        mean = sum(rates.values()) / sum(capacities[one] for one in usable)
-        moves: list[Move] = []
-        for goal, source in _pairs(usable, usage)[:room]:
-            excess = min(
-                (usage[source].share - mean) * capacities[source],
-                (mean - usage[goal].share) * capacities[goal],
-            )
-            if usage[source].share >= mean * UNEVENNESS and excess > MIN_EXCESS:
-                held = _held_by(keeper, source)
-                moves.extend(self._choose(held, rates, excess, goal))
-        return moves
+        usable = sorted(one.name for one in keeper.usable_targets(now))
+        balance = _Balance(keeper, self.loads, capacities, usable)
+        moved: list[Piece] = []
+        while usable and len(moved) < room:
+            piece = balance.move_one()
+            if piece is None:
+                break
+            moved.append(piece)
+        return moved
 
-    def _choose(
+
+class _Balance:
+    """Use of targets while moves are being planned."""
+
+    def __init__(
         self,
-        held: list[Piece],
-        rates: Mapping[int, float],
-        excess: float,
-        goal: str,
-    ) -> list[Move]:
+        keeper: ShardKeeper,
+        loads: KeyLoads,
+        capacities: Mapping[str, float],
+        usable: list[str],
+    ) -> None:
+        self._keeper = keeper
+        self._loads = loads
+        self._capacities = capacities
+        self._usable = usable
+        self._rates = loads.by_piece(keeper.pieces)
+        self._usage = _usage(keeper, self._rates, capacities)
+        total = sum(capacities[one] for one in usable)
+        self._mean = sum(self._rates.values()) / total if total else 0
+
+    def move_one(self) -> Piece | None:
+        """Send one range from the most to the least used target."""
+        source = max(self._usable, key=self._share)
+        goal = min(self._usable, key=self._share)
+        excess = min(
+            (self._share(source) - self._mean) * self._capacities[source],
+            (self._mean - self._share(goal)) * self._capacities[goal],
+        )
+        if self._share(source) < self._mean * UNEVENNESS or excess < MIN_EXCESS:
+            return None
+        piece = self._choose(_held_by(self._keeper, source), excess)
+        if piece is None:
+            return None
+        self._keeper.move(piece, goal)
+        rate = self._rates[piece.first]
+        for name, change in ((source, -rate), (goal, rate)):
+            share = change / self._capacities[name]
+            self._usage[name] = _added(self._usage[name], share)
+        return piece
+
+    def _share(self, name: str) -> float:
+        return self._usage[name].share
+
+    def _choose(self, held: list[Piece], excess: float) -> Piece | None:
         """Choose the range whose load is nearest to the excess."""
-        loaded = [(rates[one.first], one) for one in held if rates[one.first]]
+        loaded = [one for one in held if self._rate(one)]
         fitting = [
-            pair for pair in loaded if excess / 3 <= pair[0] <= excess * MAX_CUT
+            one
+            for one in loaded
+            if excess / 3 <= self._rate(one) <= excess * MAX_CUT
         ]
-        larger = [pair for pair in loaded if pair[0] > excess]
+        larger = [one for one in loaded if self._rate(one) > excess]
         if not fitting and larger and len(held) < MAX_PIECES_PER_TARGET:
-            rate, piece = max(larger, key=_rate_of)
-            return self._cut(piece, rate, excess, goal)
-        smaller = [pair for pair in loaded if pair[0] <= excess * MAX_CUT]
-        if not smaller:
-            return []
-        _, piece = max(smaller, key=_rate_of)
-        return [Move(piece, piece.first, piece.last, goal)]
-
-    def _cut(
-        self, piece: Piece, rate: float, excess: float, goal: str
-    ) -> list[Move]:
-        lower = self.loads.cut(piece, excess)
-        if lower is not None:
-            return [Move(piece, piece.first, lower - 1, goal)]
-        upper = self.loads.cut(piece, rate - excess)
-        if upper is not None:
-            return [Move(piece, upper, piece.last, goal)]
-        return []
+            part = self._cut(max(larger, key=self._rate), excess)
+            if part is not None:
+                return part
+        smaller = [one for one in loaded if self._rate(one) <= excess * MAX_CUT]
+        return max(smaller, key=self._rate, default=None)
+
+    def _rate(self, piece: Piece) -> float:
+        return self._rates[piece.first]
+
+    def _cut(self, piece: Piece, excess: float) -> Piece | None:
+        rate = self._rate(piece)
+        at = self._loads.cut(piece, excess)
+        if at is not None:
+            upper = self._keeper.split(piece, at)
+            self._note((piece, upper))
+            return piece
+        at = self._loads.cut(piece, rate - excess)
+        if at is None:
+            return None
+        upper = self._keeper.split(piece, at)
+        self._note((piece, upper))
+        return upper
+
+    def _note(self, parts: tuple[Piece, ...]) -> None:
+        self._rates.update(self._loads.by_piece(parts))
 
 
 @attrs.frozen
@@ -246,19 +271,6 @@
     return usable[name]
 
 
-def _rate_of(pair: tuple[float, Piece]) -> float:
-    return pair[0]
-
-
-def _pairs(
-    usable: Iterable[str], usage: Mapping[str, _Usage]
-) -> list[tuple[str, str]]:
-    """Pair the least used targets with the most used ones."""
-    order = sorted(usable, key=lambda one: (usage[one].share, one))
-    half = len(order) // 2
-    return list(zip(order[:half], reversed(order[-half:]), strict=True))
-
-
 def _held_by(keeper: ShardKeeper, name: str) -> list[Piece]:
     return [
         piece
--- a/src/dogwoodmast/direct/shard_reign.py
+++ b/src/dogwoodmast/direct/shard_reign.py
@@ -21,10 +21,10 @@
 from dogwoodmast.direct.shard_planner import (
     PIECES_PER_TARGET,
     KeyLoads,
-    Move,
     ShardPlanner,
 )
 from dogwoodmast.direct.target_control import TargetControl
+from dogwoodmast.direct.target_paces import TargetPaces
 from dogwoodmast.errors import PlatformAnswerLost, PlatformError
 from dogwoodmast.events import Event, log_event
 from dogwoodmast.key_value import MISSING_REVISION, Expectation, Put
@@ -42,10 +42,10 @@
     from dogwoodmast.direct.shard_piece import Piece
     from dogwoodmast.key_value import PolledStore
 
-LOAD_HALF_LIFE = 1.5
+LOAD_HALF_LIFE = 0.9
 """Time after which a count of requests is worth half, in seconds; busy keys
 of the contract change within some seconds."""
-PLAN_INTERVAL = 0.5
+PLAN_INTERVAL = 0.3
 """Pause between two looks at the load, in seconds."""
 SETTLING_TIME = 1.5
 """Time without a new target after which keys are first dealt out, in seconds;
@@ -139,6 +139,7 @@
         self._clock = clock
         self._loads = KeyLoads(LOAD_HALF_LIFE)
         self._planner = ShardPlanner(self._loads)
+        self._paces = TargetPaces()
         self._log = UpdateLog(keeper.service, keeper.epoch)
         self._controls: dict[tuple[str, int], TargetControl] = {}
         self._record_revision = MISSING_REVISION
@@ -189,6 +190,8 @@
         :return: What its table lacks, or ``None``.
         """
         self._loads.add((one.key, one.requests) for one in report.keys)
+        for pace in report.paces:
+            self._paces.add(pace.target, pace.seconds)
         return self.update_for(report.epoch, report.number)
 
     def update_for(self, epoch: int, number: int) -> ShardUpdate | None:
@@ -241,27 +244,17 @@
         self._planned_at = now
         self._loads.decay(now)
         moves = self._planner.plan_moves(self._keeper, self._capacities(), now)
-        for move in moves:
-            self._start_move(move)
-
-    def _start_move(self, move: Move) -> None:
-        piece = move.piece
-        if move.last < piece.last:
-            self._keeper.split(piece, move.last + 1)
-        if move.first > piece.first:
-            piece = self._keeper.split(piece, move.first)
-        self._keeper.move(piece, move.goal)
-        log_event(
-            Event.KEYS_MOVING,
-            first=piece.first,
-            last=piece.last,
-            source=piece.target,
-            goal=move.goal,
-        )
+        for piece in moves:
+            log_event(
+                Event.KEYS_MOVING,
+                first=piece.first,
+                last=piece.last,
+                source=piece.target,
+                goal=piece.goal,
+            )
 
     def _capacities(self) -> dict[str, float]:
-        targets = self._keeper.targets
-        return {name: float(one.slots) for name, one in targets.items()}
+        return self._paces.capacities(self._keeper.targets.values())
 
     async def _make(self, call: KeeperCall) -> None:
         control = self._control_of(call.target)
--- a/src/dogwoodmast/direct/shard_view.py
+++ b/src/dogwoodmast/direct/shard_view.py
@@ -14,6 +14,7 @@
     ShardRecord,
     ShardUpdate,
     ShardVersion,
+    TargetPace,
     VmRecord,
 )
 from dogwoodmast.direct.shard_table import ShardTable
@@ -24,11 +25,12 @@
     from collections.abc import Iterable
 
     from dogwoodmast.direct.directory import Directory
+    from dogwoodmast.direct.gate_set import GateSet
     from dogwoodmast.link import Link
     from dogwoodmast.link_pool import LinkPool
     from dogwoodmast.message_handlers import MessageHandlers
 
-REPORT_INTERVAL = 0.5
+REPORT_INTERVAL = 0.3
 """Pause between reports to the coordinator, in seconds; a third of the time
 for which it remembers half of a key's load."""
 REPORT_TIMEOUT = 0.6
@@ -115,17 +117,24 @@
     """Task that reports to the coordinator and takes its tables."""
 
     def __init__(
-        self, vm: str, view: ShardView, directory: Directory, links: LinkPool
+        self,
+        vm: str,
+        view: ShardView,
+        gates: GateSet,
+        directory: Directory,
+        links: LinkPool,
     ) -> None:
         """Create the task.
 
         :param vm: Name of the own VM.
         :param view: What is known of the holders.
+        :param gates: Targets, as the own VM sees them.
         :param directory: Copy of the store.
         :param links: Links to other entry VMs.
         """
         self._vm = vm
         self._view = view
+        self._gates = gates
         self._directory = directory
         self._links = links
 
@@ -155,12 +164,14 @@
     async def _report(self, service: str, coordinator: VmRecord) -> None:
         table = self._view.table(service)
         counts = self._view.take_counts(service)
+        paces = self._gates.usual_paces(service)
         report = LoadReport(
             self._vm,
             service,
             table.epoch,
             table.number,
             tuple(KeyCount(*one) for one in counts.items()),
+            tuple(TargetPace(*one) for one in paces.items()),
         )
         try:
             with anyio.fail_after(REPORT_TIMEOUT):
--- a/src/dogwoodmast/direct/target_gate.py
+++ b/src/dogwoodmast/direct/target_gate.py
@@ -35,7 +35,7 @@
 platform's allowance for a leaving target."""
 
 
-@attrs.define
+@attrs.define(eq=False)
 class TargetGate:
     """Requests of this VM at one target, and how it answers."""
 
@@ -52,6 +52,11 @@
     _failures: int = 0
     _shunned_until: float = float('-inf')
 
+    @property
+    def usual(self) -> float:
+        """Usual time of an answer, in seconds; 0 before the first."""
+        return self._usual
+
     @property
     def has_room(self) -> bool:
         """Whether one more request may be sent."""
--- a/src/dogwoodmast/direct/waiting_line.py
+++ b/src/dogwoodmast/direct/waiting_line.py
@@ -18,6 +18,12 @@
 SHORTEST_RETURN = 0.05
 """Shortest time after which a refused caller is told to return, in seconds;
 below it the balancer's way takes longer."""
+WAIT_SHARE = 0.5
+"""Part of the objective that a request may wait; the rest is for the answer,
+whose usual time is a third of the objective."""
+LEFT_SHARE = 0.9
+"""Part of the time left within which an answer must be expected; the rest
+covers the estimate's error."""
 RETURN_SPREAD = 0.5
 """Part by which chance lengthens the time, so that callers refused together
 do not return together."""
@@ -137,15 +143,22 @@
         return found
 
 
-def is_in_time(wait: float, pace: float, left: float) -> bool:
+def is_in_time(wait: float, pace: float, left: float, objective: float) -> bool:
     """Tell whether a request may wait.
 
+    Where more requests come than can run, a long line makes every answer
+    late and serves no more of them; so the line is kept to a part of the
+    time within which answers are of full use.
+
     :param wait: Expected time until its turn, in seconds.
     :param pace: Expected time of its answer, in seconds.
     :param left: Time left for it, in seconds.
+    :param objective: Time within which an answer is of full use, in seconds.
     :return: Whether the answer is expected in time.
     """
-    return wait + pace <= left
+    if wait > objective * WAIT_SHARE:
+        return False
+    return wait + pace <= left * LEFT_SHARE
 
 
 def return_time(wait: float, left: float, point: float) -> float:
--- a/src/dogwoodmast/idl/direct.thrift
+++ b/src/dogwoodmast/idl/direct.thrift
@@ -61,10 +61,16 @@
   2: double requests,
 }
 
+struct TargetPace {
+  1: string target,
+  2: double seconds,
+}
+
 struct LoadReport {
   1: string vm,
   2: string service_name,
   3: i64 epoch,
   4: i64 number,
   5: list<KeyCount> keys,
+  6: list<TargetPace> paces,
 }
--- /dev/null
+++ b/tests/test_direct_decisions.py
@@ -0,0 +1,321 @@
+"""Queueing, refusing, choosing and retrying, each under the load it answers."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dogwoodmast.address import Address
+from dogwoodmast.direct.catalog import Share, Target, pick_share
+from dogwoodmast.direct.directory import Directory
+from dogwoodmast.direct.directory_sync import (
+    SUSPECT_TIME,
+    SourceChoice,
+    StoreSource,
+    VmSource,
+)
+from dogwoodmast.direct.messages import ShardAssignment, ShardUpdate, VmRecord
+from dogwoodmast.direct.retry_allowance import HEADROOM, RetryAllowance
+from dogwoodmast.direct.shard_table import ShardTable
+from dogwoodmast.direct.target_choice import choose_gate
+from dogwoodmast.direct.target_gate import TargetGate
+from dogwoodmast.direct.waiting_line import (
+    Ticket,
+    WaitingLine,
+    is_in_time,
+    return_time,
+)
+from dogwoodmast.key_value import Change, ChangePage, Snapshot, StoredValue
+
+
+def make_gate(name: str = 't', zone: str = 'a', slots: int = 6) -> TargetGate:
+    """Make the gate of a target."""
+    address = Address('10.0.0.1', 80)
+    gate = TargetGate(Target(name, 's', address, zone, slots, False, 1))
+    gate.bound_limit(8)
+    return gate
+
+
+def test_limit_shrinks_at_a_crowded_target_and_recovers() -> None:
+    """A VM gives way while answers are slow, and comes back afterwards."""
+    gate = make_gate()
+    for _ in range(50):
+        gate.in_flight = int(gate.limit)
+        gate.on_answer(0.1)
+    roomy = gate.limit
+    for _ in range(10):
+        gate.on_answer(0.5)
+    assert gate.limit == 1 < roomy
+    for _ in range(50):
+        gate.in_flight = int(gate.limit)
+        gate.on_answer(0.1)
+    assert gate.limit > roomy / 2
+
+
+def test_failing_target_is_chosen_last_and_tried_again() -> None:
+    """A target that fails gets little until its time is up."""
+    good, bad = make_gate('good'), make_gate('bad')
+    bad.on_failed(10.0)
+    chance = random.Random(1)
+    chosen = {choose_gate([good, bad], 'a', 10.1, chance) for _ in range(50)}
+    assert chosen == {good}
+    later = {choose_gate([good, bad], 'a', 13.0, chance) for _ in range(50)}
+    assert later == {good, bad}
+
+
+def test_faster_and_nearer_targets_are_preferred() -> None:
+    """Work goes where it is done soonest, but not all of it."""
+    fast, slow = make_gate('fast'), make_gate('slow')
+    for _ in range(30):
+        fast.on_answer(0.1)
+        slow.on_answer(0.3)
+    chance = random.Random(1)
+    near, far = make_gate('near'), make_gate('far', zone='b')
+    assert choose_gate([slow, fast], 'a', 0, chance) is fast
+    picks = [choose_gate([near, far], 'a', 0, chance) for _ in range(200)]
+    assert picks.count(near) > 120
+
+
+def test_full_targets_are_not_chosen() -> None:
+    """Without room anywhere nothing is chosen."""
+    gate = make_gate()
+    gate.in_flight = int(gate.limit)
+    assert choose_gate([gate], 'a', 0, random.Random(1)) is None
+
+
+def test_overload_is_refused_early_and_answers_stay_useful() -> None:
+    """At twice the capacity, what is served is served within its objective.
+
+    One target runs 40 requests a second; 80 come.  Callers whose request
+    waits longer than it may would get a late answer.
+    """
+    objective, deadline, pace, slots = 0.5, 1.2, 0.1, 4
+    now, free_at = 0.0, [0.0] * slots
+    in_time = late = refused = 0
+    for number in range(800):
+        now = number / 80
+        soonest = min(free_at)
+        waiting = max(0.0, soonest - now)
+        if waiting and not is_in_time(waiting, pace, deadline, objective):
+            refused += 1
+            continue
+        free_at[free_at.index(soonest)] = max(soonest, now) + pace
+        if waiting + pace <= objective:
+            in_time += 1
+        else:
+            late += 1
+    assert late == 0
+    assert in_time >= 0.95 * 40 * 10
+    assert refused > 350
+
+
+def test_more_urgent_requests_go_first() -> None:
+    """The line serves by rank, then by arrival."""
+    line, gate = WaitingLine(), make_gate()
+    ranks = (2, 1, 2, 0)
+    tickets = [Ticket(rank, 1.0) for rank in ranks]
+    for ticket in tickets:
+        line.join(ticket)
+    assert line.ahead_of(1) == 2
+    served = []
+    while line.serve(gate):
+        served.append(next(one for one in tickets if one.gate and one.left))
+        tickets.remove(served[-1])
+    assert [one.priority for one in served] == [0, 1, 2, 2]
+
+
+def test_request_is_not_given_a_target_it_was_refused_by() -> None:
+    """It keeps its place for another target."""
+    line = WaitingLine()
+    line.join(Ticket(1, 1.0, frozenset(('t',))))
+    assert not line.serve(make_gate('t'))
+    assert line.serve(make_gate('u'))
+
+
+def test_requests_of_a_target_that_left_look_elsewhere() -> None:
+    """None waits for what cannot come."""
+    line = WaitingLine()
+    tickets = [Ticket(1, 1.0) for _ in range(3)]
+    for ticket in tickets:
+        line.join(ticket)
+    line.dismiss()
+    assert not len(line)
+    assert all(one.called.is_set() and one.gate is None for one in tickets)
+
+
+@given(st.floats(0, 100), st.floats(0, 10), st.floats(0, 1))
+def test_return_time_is_one_that_callers_heed(
+    wait: float, left: float, point: float
+) -> None:
+    """It is never more than a third of what the caller has left."""
+    assert 0 <= return_time(wait, left, point) <= left / 3 + 1e-9
+
+
+@pytest.mark.parametrize('vms', [1, 3, 12])
+def test_retries_of_all_vms_stay_within_one_budget(vms: int) -> None:
+    """However requests are spread, each window keeps to the budget."""
+    chance = random.Random(vms)
+    allowances = [RetryAllowance(0.2, 10, 64) for _ in range(vms)]
+    firsts: list[float] = []
+    further: list[float] = []
+    for number in range(6000):
+        now = number / 200
+        one = allowances[int(chance.random() ** 2 * vms)]
+        one.on_first(now)
+        firsts.append(now)
+        if chance.random() < 0.8 and one.spend(vms, now):
+            further.append(now)
+    for start in range(0, 20, 2):
+        window = [at for at in further if start <= at < start + 10]
+        asked = [at for at in firsts if start <= at < start + 10]
+        assert len(window) <= 0.2 * len(asked) + 64
+    assert len(further) > HEADROOM * 0.2 * len(firsts) / 2
+
+
+def test_shares_follow_their_weights() -> None:
+    """Each service gets its part of a route's requests."""
+    shares = (Share('a', 90), Share('b', 10))
+    chance = random.Random(3)
+    picks = [pick_share(shares, chance.random()) for _ in range(5000)]
+    assert 0.07 < picks.count('b') / len(picks) < 0.13
+    assert pick_share(shares, 1.0) == 'b'
+
+
+def record(name: str, zone: str = 'a') -> VmRecord:
+    """Make the record of an entry VM."""
+    return VmRecord(name, zone, '10.0.0.1:7000', 'i')
+
+
+def test_one_vm_of_a_zone_reads_the_store() -> None:
+    """The others ask it, and whoever is left asks the store."""
+    vms = [record(name) for name in ('v1', 'v2', 'v3')]
+    vms.append(record('w1', 'b'))
+    assert SourceChoice('v1', 'a').choose(vms, 0) == StoreSource()
+    assert SourceChoice('w1', 'b').choose(vms, 0) == StoreSource()
+    choice = SourceChoice('v3', 'a')
+    first = choice.choose(vms, 0)
+    assert isinstance(first, VmSource)
+    assert first.name == 'v1'
+    choice.on_failure(first, 0)
+    second = choice.choose(vms, 0.1)
+    assert isinstance(second, VmSource)
+    assert second.name == 'v2'
+    choice.on_failure(second, 0.1)
+    assert choice.choose(vms, 0.2) == StoreSource()
+    assert choice.choose(vms, SUSPECT_TIME + 0.05) == first
+
+
+def test_vm_that_the_store_turns_away_asks_any_other() -> None:
+    """Also one of another zone, rather than nobody."""
+    vms = [record('v1'), record('w1', 'b')]
+    choice = SourceChoice('v1', 'a')
+    choice.on_failure(StoreSource(), 0)
+    found = choice.choose(vms, 0.1)
+    assert isinstance(found, VmSource)
+    assert found.name == 'w1'
+
+
+def make_directory() -> Directory:
+    """Make a copy whose entries decode to their own text."""
+
+    def decode(key: str, content: bytes) -> Target | None:
+        if not key.startswith('t/'):
+            return None
+        name = key.removeprefix('t/')
+        born = len(content)
+        address = Address('10.0.0.1', 80)
+        return Target(name, 's', address, 'a', 4, False, born)
+
+    return Directory(decode)
+
+
+def test_copy_never_goes_back() -> None:
+    """Late, stale and repeated reads change nothing."""
+    directory = make_directory()
+    fresh = Snapshot(9, (StoredValue('t/x', b'22', 9),))
+    stale = Snapshot(7, (StoredValue('t/x', b'1', 7),))
+    assert directory.on_snapshot(fresh, 1.0) == ['t/x']
+    assert directory.on_snapshot(stale, 2.0) == []
+    page = ChangePage(8, (Change('t/x', b'1', 8),))
+    assert directory.on_changes(page, 3.0) == []
+    assert directory.targets(3.0)['x'].born == 2
+
+
+def test_removed_entry_is_gone_at_once() -> None:
+    """While the store has been up, a missing entry names no target."""
+    directory = make_directory()
+    directory.on_snapshot(Snapshot(5, (StoredValue('t/x', b'1', 5),)), 1.0)
+    directory.on_changes(ChangePage(6, (Change('t/x', None, 6),)), 2.0)
+    assert directory.targets(2.0) == {}
+
+
+def test_entry_that_lapsed_in_an_outage_has_time_to_return() -> None:
+    """It counts for two seconds after the store's return, here and there."""
+    directory = make_directory()
+    directory.on_snapshot(Snapshot(5, (StoredValue('t/x', b'1', 5),)), 1.0)
+    directory.on_outage(10.0)
+    directory.on_snapshot(Snapshot(8, ()), 10.5)
+    other = make_directory()
+    other.on_snapshot(Snapshot(5, (StoredValue('t/x', b'1', 5),)), 51.0)
+    other.on_page(directory.page_since(5, 11.0), 61.0, 61.0)
+    assert set(directory.targets(11.9)) == {'x'}
+    assert directory.targets(12.1) == {}
+    assert set(other.targets(61.9)) == {'x'}
+    assert other.targets(62.1) == {}
+
+
+def test_heartbeats_are_not_passed_on() -> None:
+    """Only entries that say something new reach other VMs."""
+    directory = make_directory()
+    directory.on_snapshot(Snapshot(5, (StoredValue('t/x', b'1', 5),)), 1.0)
+    page = ChangePage(6, (Change('t/x', b'2', 6),))
+    assert directory.on_changes(page, 2.0) == []
+    assert directory.page_since(5, 2.0).items == ()
+    assert directory.revision == 6
+
+
+def piece(first: int, last: int, target: str) -> ShardAssignment:
+    """Make an assignment."""
+    return ShardAssignment(first, last, target, 1, 1, True)
+
+
+RANGES = st.lists(
+    st.tuples(st.integers(0, 60), st.integers(0, 20), st.sampled_from('abc')),
+    max_size=12,
+)
+
+
+@given(RANGES)
+def test_table_gives_the_latest_holder_of_each_key(
+    ranges: list[tuple[int, int, str]],
+) -> None:
+    """Overlaid assignments act like single keys written one by one."""
+    table = ShardTable()
+    expected: dict[int, str] = {}
+    for number, (first, width, target) in enumerate(ranges, 1):
+        changed = (piece(first, first + width, target),)
+        update = ShardUpdate('s', 1, number - 1, number, changed)
+        assert table.on_update(update)
+        for key in range(first, first + width + 1):
+            expected[key] = target
+    for key in range(90):
+        found = table.find(key)
+        assert (found.target if found else None) == expected.get(key)
+
+
+def test_table_asks_for_what_it_missed() -> None:
+    """A change that builds on an unknown version is not taken."""
+    table = ShardTable()
+    whole = ShardUpdate('s', 1, 0, 3, (piece(0, 9, 'a'),))
+    assert table.on_update(whole)
+    late = ShardUpdate('s', 1, 5, 6, (piece(0, 4, 'b'),))
+    assert not table.on_update(late)
+    assert table.number == 3
+    old = ShardUpdate('s', 1, 0, 2, (piece(0, 9, 'c'),))
+    assert table.on_update(old)
+    found = table.find(0)
+    assert found is not None
+    assert found.target == 'a'
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -14,6 +14,7 @@
     is_ready,
     route,
 )
+from dogwoodmast.direct.leadership import LEASE_TTL
 from metadata_store import StoreFault
 from platform_target import PlatformTarget, TargetFault
 
@@ -247,13 +248,14 @@
     'fault', [StoreFault.SILENT, StoreFault.BUSY, StoreFault.LOST]
 )
 async def test_store_outage_does_not_end_service(fault: StoreFault) -> None:
-    """Keys stay held and requests are served while the store is away."""
+    """Keys stay held for twice the coordinator's lease without a store."""
     target = PlatformTarget('s', sharded=True)
     async with direct_fleet(target, PlatformTarget('p')) as fleet:
         await fleet.await_ready()
         fleet.store.fault = fault
-        for _ in range(12):
-            await anyio.sleep(0.5)
+        end = anyio.current_time() + 2 * LEASE_TTL
+        while anyio.current_time() < end:
+            await anyio.sleep(0.2)
             assert (await fleet.ask('/balance/x', key=5)).status == 200
             assert (await fleet.ask('/payment/x')).status == 200
         fleet.store.fault = StoreFault.NONE
