Give a key too hot for its target to the fastest one; start sooner

A process also imported the first design's router, trio and uuid6 at its start. The adapter's store client uses the targets' connections now, and problems are written by a module of their own.

--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import logging
+import secrets
 import signal
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 
 import anyio
-import uuid6
 
 from dogwoodmast.clock import BootClock
 from dogwoodmast.direct.coordinator import Coordinator, CoordinatorParts
@@ -48,6 +48,8 @@
 """Pause before the process ends once nothing runs any more, in seconds."""
 END_MARGIN = 0.4
 """Time before the process is killed at which it ends by itself, in seconds."""
+INCARNATION_BYTES = 8
+"""Bytes of the identity of a process's life; enough that none comes twice."""
 LEAST_IDLE_TIME = 15
 """Time for which callers' idle connections are kept until a configuration
 says otherwise, in seconds."""
@@ -66,13 +68,13 @@
         self._path = path
         self._bounds = settings.bounds
         self._clock = BootClock()
-        self._store = MetadataStore(str(settings.store))
+        self._store = MetadataStore(settings.store)
         self._handlers = MessageHandlers()
         self._record = VmRecord(
             settings.vm.name,
             settings.vm.zone,
             str(settings.listen.links),
-            str(uuid6.uuid7()),
+            secrets.token_hex(INCARNATION_BYTES),
         )
         self._links = LinkPool(
             Hello(
@@ -109,17 +111,20 @@
             stack.callback(tasks.cancel_scope.cancel)
             await stack.enter_async_context(self._links)
             stack.push_async_callback(self._gates.aclose)
-            coordinator = self._make_coordinator()
-            registration = VmRegistration(self._record, self._store)
-            await self._start(tasks, coordinator, registration)
-            log_event(
-                Event.VM_STARTED, vm=self._record.name, zone=self._record.zone
-            )
-            await self._await_stop()
-            log_event(Event.VM_STOPPING, vm=self._record.name)
-            await self._stop(tasks, coordinator, registration)
+            await self._serve(tasks)
         log_event(Event.VM_STOPPED, vm=self._record.name)
 
+    async def _serve(self, tasks: TaskGroup) -> None:
+        coordinator = self._make_coordinator()
+        registration = VmRegistration(self._record, self._store)
+        await self._start(tasks, coordinator, registration)
+        log_event(
+            Event.VM_STARTED, vm=self._record.name, zone=self._record.zone
+        )
+        await self._await_stop()
+        log_event(Event.VM_STOPPING, vm=self._record.name)
+        await self._stop(tasks, coordinator, registration)
+
     def _make_coordinator(self) -> Coordinator:
         parts = CoordinatorParts(
             self._record,
@@ -153,15 +158,19 @@
         sync.subscribe(self._on_changes)
         for part in (sync, reporter, coordinator):
             part.register(self._handlers)
-        self._add_gauges()
         await tasks.start(serve_links, listen.links, self._handlers)
+        self._start_servers(tasks)
+        for task in (sync, registration, reporter, coordinator):
+            tasks.start_soon(task.run)
+        tasks.start_soon(self._refresh, tasks)
+
+    def _start_servers(self, tasks: TaskGroup) -> None:
+        listen = self._settings.listen
+        self._add_gauges()
         status = make_http_server(self._readiness, listen.readiness)
         metrics = make_http_server(self._meters, listen.metrics)
         for server in (self._server, status, metrics):
             tasks.start_soon(server.serve)
-        for task in (sync, registration, reporter, coordinator):
-            tasks.start_soon(task.run)
-        tasks.start_soon(self._refresh, tasks)
 
     async def _refresh(self, tasks: TaskGroup) -> None:
         """Keep the gates in step with the copy of the store."""
--- a/src/dogwoodmast/direct/gateway.py
+++ b/src/dogwoodmast/direct/gateway.py
@@ -18,13 +18,13 @@
 from dogwoodmast.direct.dispatcher import Dispatcher
 from dogwoodmast.direct.meters import Meters
 from dogwoodmast.direct.trace import RequestLog, Trace
-from dogwoodmast.gateway import problem_answer
 from dogwoodmast.platform.headers import (
     REPLACED_HEADERS,
     CallerFields,
     read_caller_fields,
 )
 from dogwoodmast.problem import Problem, ProblemType
+from dogwoodmast.problem_answer import problem_answer
 
 if TYPE_CHECKING:
     from collections.abc import MutableMapping
--- a/src/dogwoodmast/direct/shard_keeper.py
+++ b/src/dogwoodmast/direct/shard_keeper.py
@@ -218,14 +218,6 @@
             piece.due = now
             self._changed.append(piece)
 
-    def on_not_recorded(self, pieces: Iterable[Piece]) -> None:
-        """Note that assignments surely do not lie in the store.
-
-        :param pieces: Ranges that were to be written.
-        """
-        for piece in pieces:
-            piece.phase = Phase.FREE
-
     def on_grant(
         self, call: GrantCall, answer: GrantAnswer, sent: float, now: float
     ) -> None:
@@ -268,14 +260,6 @@
         else:
             piece.phase = Phase.EXPIRING
 
-    def move(self, piece: Piece, goal: str) -> None:
-        """Send a range to another target.
-
-        :param piece: Range that is held.
-        :param goal: Name of the target.
-        """
-        piece.goal = goal
-
     def split(self, piece: Piece, at: int) -> Piece:
         """Cut a range that no call is under way for.
 
@@ -301,7 +285,8 @@
             case Phase.FENCING:
                 return self._grant(piece)
             case Phase.RELEASING:
-                return self._release(piece)
+                target = self._last_known[piece.target, piece.born]
+                return ReleaseCall(piece, target, piece.fence)
             case Phase.EXPIRING if now >= piece.held_until:
                 self._free(piece)
         return None
@@ -325,28 +310,20 @@
     def _start_move(self, piece: Piece, now: float) -> KeeperCall | None:
         if (piece.target, piece.born) not in self._last_known:
             piece.phase = Phase.EXPIRING
-            self._close(piece)
+            self._set_open(piece, is_open=False)
             return None
-        self._close(piece)
+        self._set_open(piece, is_open=False)
         if now < piece.stray_until:
             piece.phase = Phase.FENCING
             piece.fence = self._next_fence()
             return self._grant(piece)
         piece.phase = Phase.RELEASING
-        return self._release(piece)
+        target = self._last_known[piece.target, piece.born]
+        return ReleaseCall(piece, target, piece.fence)
 
     def _grant(self, piece: Piece) -> GrantCall:
-        return GrantCall(
-            piece,
-            self._last_known[piece.target, piece.born],
-            piece.fence,
-            self.hold,
-            piece.handover,
-        )
-
-    def _release(self, piece: Piece) -> ReleaseCall:
         target = self._last_known[piece.target, piece.born]
-        return ReleaseCall(piece, target, piece.fence)
+        return GrantCall(piece, target, piece.fence, self.hold, piece.handover)
 
     def _on_accepted(self, piece: Piece, call: GrantCall, sent: float) -> None:
         piece.due = sent + self.hold / 3
@@ -354,9 +331,8 @@
         if piece.phase is Phase.FENCING:
             piece.stray_until = LONG_AGO
             piece.phase = Phase.RELEASING
-        elif not piece.is_open:
-            piece.is_open = True
-            self._changed.append(piece)
+        else:
+            self._set_open(piece, is_open=True)
 
     def _on_unanswered(
         self, piece: Piece, answer: GrantAnswer, now: float
@@ -376,9 +352,9 @@
         piece.held_until = LONG_AGO
         piece.stray_until = LONG_AGO
         piece.handover = ''
-        self._close(piece)
+        self._set_open(piece, is_open=False)
 
-    def _close(self, piece: Piece) -> None:
-        if piece.is_open:
-            piece.is_open = False
+    def _set_open(self, piece: Piece, *, is_open: bool) -> None:
+        if piece.is_open is not is_open:
+            piece.is_open = is_open
             self._changed.append(piece)
--- a/src/dogwoodmast/direct/shard_planner.py
+++ b/src/dogwoodmast/direct/shard_planner.py
@@ -35,6 +35,11 @@
 of a second's count comes to."""
 FORGOTTEN_RATE = 0.01
 """Requests a second below which a key is no longer followed."""
+HOT_SHARE = 0.7
+"""Part of a target's room from which a single key counts as hot."""
+MUCH_FASTER = 1.2
+"""Speed over that of a hot key's holder from which a move is worth the time
+in which the key waits."""
 MAX_CUT = 1.2
 """Size of a moved range over the excess that it is to take away."""
 
@@ -90,6 +95,16 @@
             sums[piece.first] = total
         return sums
 
+    def hottest(self, piece: Piece) -> tuple[int, float]:
+        """Find the busiest key of a range.
+
+        :param piece: Range.
+        :return: The key with its requests a second.
+        """
+        keys = range(piece.first, piece.last + 1)
+        key = max(keys, key=lambda one: self._rates.get(one, 0))
+        return key, self._rates.get(key, 0)
+
     def cut(self, piece: Piece, amount: float) -> int | None:
         """Find where a range is to be cut.
 
@@ -181,6 +196,9 @@
     def move_one(self) -> Piece | None:
         """Send one range from the most to the least used target."""
         source = max(self._usable, key=self._share)
+        piece = self._free_hot_key(source)
+        if piece is not None:
+            return piece
         goal = min(self._usable, key=self._share)
         excess = min(
             (self._share(source) - self._mean) * self._capacities[source],
@@ -191,12 +209,42 @@
         piece = self._choose(_held_by(self._keeper, source), excess)
         if piece is None:
             return None
-        self._keeper.move(piece, goal)
+        self._send(piece, source, goal)
+        return piece
+
+    def _free_hot_key(self, source: str) -> Piece | None:
+        """Send a key that one target can hardly carry to the fastest one."""
+        fastest = max(self._usable, key=self._capacities.__getitem__)
+        if self._capacities[fastest] < self._capacities[source] * MUCH_FASTER:
+            return None
+        held = _held_by(self._keeper, source)
+        piece = max(held, key=self._rate, default=None)
+        if piece is None:
+            return None
+        key, rate = self._loads.hottest(piece)
+        if rate < self._capacities[source] * HOT_SHARE:
+            return None
+        piece = self._isolate(piece, key)
+        self._send(piece, source, fastest)
+        return piece
+
+    def _isolate(self, piece: Piece, key: int) -> Piece:
+        """Cut a range so that one part has a single key."""
+        parts = [piece]
+        if piece.first < key:
+            piece = self._keeper.split(piece, key)
+            parts.append(piece)
+        if key < piece.last:
+            parts.append(self._keeper.split(piece, key + 1))
+        self._note(tuple(parts))
+        return piece
+
+    def _send(self, piece: Piece, source: str, goal: str) -> None:
+        piece.goal = goal
         rate = self._rates[piece.first]
         for name, change in ((source, -rate), (goal, rate)):
             share = change / self._capacities[name]
             self._usage[name] = _added(self._usage[name], share)
-        return piece
 
     def _share(self, name: str) -> float:
         return self._usage[name].share
--- a/src/dogwoodmast/direct/target_connection.py
+++ b/src/dogwoodmast/direct/target_connection.py
@@ -171,9 +171,7 @@
 
         :raises ExchangeAborted: If the connection broke.
         """
-        pieces = self.read_body()
-        while await anext(pieces, None) is not None:
-            pass
+        await _drain(self.read_body())
 
     async def aclose(self) -> None:
         """Close the connection."""
@@ -338,6 +336,10 @@
             waiter.set_result(None)
 
 
+async def _drain(pieces: AsyncIterator[bytes]) -> int:
+    return sum([len(piece) async for piece in pieces])
+
+
 def _keep_time(headers: RawHeaders) -> float | None:
     for name, field in headers:
         if name == b'keep-alive':
--- a/src/dogwoodmast/gateway.py
+++ b/src/dogwoodmast/gateway.py
@@ -2,33 +2,26 @@
 
 from __future__ import annotations
 
-import math
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import anyio
 import attrs
-import orjson
 
 from dogwoodmast._asgi import RawHeaders, send_answer
 from dogwoodmast.caller_request import RequestRefused, read_body, read_head
 from dogwoodmast.events import Event, log_event
 from dogwoodmast.metrics import Metric
 from dogwoodmast.operator_api import PATH_PREFIX
-from dogwoodmast.problem import (
-    PROBLEM_MEDIA_TYPE,
-    PROBLEM_URI_PREFIX,
-    Outcome,
-    Problem,
-    ProblemType,
-)
-from dogwoodmast.request import Answer, Header, Request, Result
+from dogwoodmast.problem import Outcome, Problem, ProblemType
+from dogwoodmast.problem_answer import problem_answer
 
 if TYPE_CHECKING:
     from dogwoodmast._asgi import Receive, Scope, Send
     from dogwoodmast.clock import Clock
     from dogwoodmast.metrics import Metrics
     from dogwoodmast.operator_api import OperatorApi
+    from dogwoodmast.request import Answer, Request, Result
     from dogwoodmast.router import Router
 
 STARTING_RETRY_AFTER = 1.0
@@ -150,29 +143,6 @@
         return headers
 
 
-def problem_answer(problem: Problem) -> Answer:
-    """Write a problem as an HTTP answer.
-
-    :param problem: The problem.
-    :return: Answer with a problem document.
-    """
-    headers = [Header('content-type', PROBLEM_MEDIA_TYPE)]
-    document: dict[str, object] = {
-        'type': f'{PROBLEM_URI_PREFIX}{problem.type.slug}',
-        'title': problem.type.slug.replace('-', ' '),
-        'status': int(problem.type.status),
-        'outcome': problem.outcome,
-    }
-    if problem.detail:
-        document['detail'] = problem.detail
-    if problem.retry_after is not None:
-        seconds = str(math.ceil(problem.retry_after))
-        headers.append(Header('retry-after', seconds))
-    return Answer(
-        int(problem.type.status), tuple(headers), orjson.dumps(document)
-    )
-
-
 async def _watch_caller(receive: Receive, scope: anyio.CancelScope) -> None:
     message = await receive()
     if message['type'] == 'http.disconnect':
--- a/src/dogwoodmast/platform/store.py
+++ b/src/dogwoodmast/platform/store.py
@@ -4,13 +4,13 @@
 
 import base64
 from http import HTTPStatus
-from typing import Any
+from typing import TYPE_CHECKING, Any
 from urllib.parse import quote, urlencode
 
 import orjson
 
+from dogwoodmast.direct.json_exchange import CALL_TIMEOUT, JsonExchange
 from dogwoodmast.errors import HistoryLost, PlatformRefused
-from dogwoodmast.json_calls import JsonCalls
 from dogwoodmast.key_value import (
     Change,
     ChangePage,
@@ -22,10 +22,8 @@
     SwapResult,
 )
 
-CALL_TIMEOUT = 1.5
-"""Time allowed for an answer, in seconds; a slow store of the contract takes
-up to 0.4 s, and a connection that fell silent has to be found out before the
-coordinator's lease ends."""
+if TYPE_CHECKING:
+    from dogwoodmast.address import Address
 
 _MILLISECONDS = 1000
 _OK = frozenset((HTTPStatus.OK,))
@@ -37,12 +35,12 @@
 class MetadataStore:
     """Client of the store; it satisfies ``PolledStore``."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: Address) -> None:
         """Create a client; connections open when needed.
 
-        :param address: IP number and port of the store.
+        :param address: Address of the store.
         """
-        self._http = JsonCalls(f'http://{address}')
+        self._http = JsonExchange(address)
 
     @property
     def calls(self) -> int:
@@ -191,7 +189,7 @@
     ) -> tuple[int, dict[str, Any]]:
         status, content = await self._http.call(method, path, body, timeout)
         if status not in accepted:
-            raise PlatformRefused(self._http.endpoint, status)
+            raise PlatformRefused(str(self._http.address), status)
         document = orjson.loads(content) if content else {}
         return status, document
 
--- /dev/null
+++ b/src/dogwoodmast/problem_answer.py
@@ -0,0 +1,37 @@
+"""Problems written as HTTP answers."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import orjson
+
+from dogwoodmast.problem import PROBLEM_MEDIA_TYPE, PROBLEM_URI_PREFIX
+from dogwoodmast.request import Answer, Header
+
+if TYPE_CHECKING:
+    from dogwoodmast.problem import Problem
+
+
+def problem_answer(problem: Problem) -> Answer:
+    """Write a problem as an HTTP answer.
+
+    :param problem: The problem.
+    :return: Answer with a problem document.
+    """
+    headers = [Header('content-type', PROBLEM_MEDIA_TYPE)]
+    document: dict[str, object] = {
+        'type': f'{PROBLEM_URI_PREFIX}{problem.type.slug}',
+        'title': problem.type.slug.replace('-', ' '),
+        'status': int(problem.type.status),
+        'outcome': problem.outcome,
+    }
+    if problem.detail:
+        document['detail'] = problem.detail
+    if problem.retry_after is not None:
+        seconds = str(math.ceil(problem.retry_after))
+        headers.append(Header('retry-after', seconds))
+    return Answer(
+        int(problem.type.status), tuple(headers), orjson.dumps(document)
+    )
