--- a/src/dogwoodmast/direct/attempt.py
+++ b/src/dogwoodmast/direct/attempt.py
@@ -104,7 +104,7 @@
             await self._deliver(reply)
         except ExchangeAborted as error:
             raise AnswerCut(error.message) from error
-        return Delivered(head.status)
+        return Delivered(head.status, len(body))
 
     def _misfit(self, fields: ReplyFields) -> Attempt | None:
         """Recognize an answer that belongs to another request."""
--- a/src/dogwoodmast/direct/call.py
+++ b/src/dogwoodmast/direct/call.py
@@ -87,6 +87,8 @@
 
     status: int
     """HTTP status."""
+    size: int = 0
+    """Size of the answer, or of the part of it that was gathered, in bytes."""
 
 
 Attempt = Refused | Broken | Failed | Delivered
--- a/src/dogwoodmast/direct/dispatcher.py
+++ b/src/dogwoodmast/direct/dispatcher.py
@@ -38,6 +38,8 @@
 KEY_RETURN = 0.3
 """Time after which a caller is told to return if its key has no holder, in
 seconds; half of the time that a move may take."""
+SIZE_WEIGHT = 0.1
+"""Weight of an answer in the usual size of a route's answers."""
 RETRY_SHARE = 1.0
 """Time left over the usual time of an answer from which a further attempt
 is worth while."""
@@ -73,6 +75,7 @@
     vms: int = 1
     """Entry VMs that are up."""
     _chance: random.Random = attrs.field(factory=random.Random)
+    _sizes: dict[str, float] = attrs.field(factory=dict)
     _allowances: dict[str, RetryAllowance] = attrs.field(factory=dict)
 
     async def run(
@@ -122,19 +125,25 @@
         self, progress: Progress, gate: TargetGate, deliver: Deliver
     ) -> Attempt:
         began = self._clock.monotonic()
-        pool = self._gates.pool(gate)
+        progress.trace.on_start(gate.target)
         try:
-            if pool is None:
-                return Refused('the target has left', was_sent=False)
-            exchange = Exchange(progress.call, gate, pool, self._clock, deliver)
-            # Unless it ends, the target may have run the request.
-            progress.last = Broken('no answer in time')
-            attempt = await exchange.run()
+            attempt = await self._exchange(progress, gate, deliver)
         finally:
             self._gates.release(gate)
         self._learn(progress, gate, attempt, began)
         return attempt
 
+    async def _exchange(
+        self, progress: Progress, gate: TargetGate, deliver: Deliver
+    ) -> Attempt:
+        pool = self._gates.pool(gate)
+        if pool is None:
+            return Refused('the target has left', was_sent=False)
+        exchange = Exchange(progress.call, gate, pool, self._clock, deliver)
+        # Unless it ends, the target may have run the request.
+        progress.last = Broken('no answer in time')
+        return await exchange.run()
+
     def _learn(
         self,
         progress: Progress,
@@ -146,8 +155,9 @@
         progress.trace.on_attempt(gate.target, attempt, now - began)
         progress.tried |= {gate.target.name}
         match attempt:
-            case Delivered():
+            case Delivered(_, size):
                 gate.on_answer(now - began)
+                self._learn_size(progress.call.route.name, size)
             case Refused(_, was_sent):
                 progress.arrivals += was_sent
                 gate.on_refused(now)
@@ -156,6 +166,10 @@
                 progress.may_have_run = True
                 gate.on_failed(now)
 
+    def _learn_size(self, route: str, size: int) -> None:
+        known = self._sizes.get(route, size)
+        self._sizes[route] = known + (size - known) * SIZE_WEIGHT
+
     def _may_retry(self, progress: Progress, gate: TargetGate) -> bool:
         call = progress.call
         now = self._clock.monotonic()
@@ -191,7 +205,8 @@
         tried = progress.tried if is_free else frozenset()
         if all(gate.target.name in tried for gate in line.gates):
             return self._give_up(progress, ProblemType.OVERLOADED)
-        gate = self._gates.choose(line, tried)
+        size = self._sizes.get(call.route.name, 0)
+        gate = self._gates.choose(line, tried, size)
         if gate is not None and not len(line.waiting):
             gate.in_flight += 1
             return gate
--- a/src/dogwoodmast/direct/gate_set.py
+++ b/src/dogwoodmast/direct/gate_set.py
@@ -9,7 +9,7 @@
 
 from dogwoodmast.clock import Clock
 from dogwoodmast.direct.connection_pool import ConnectionPool
-from dogwoodmast.direct.target_choice import choose_gate
+from dogwoodmast.direct.target_choice import Origin, choose_gate
 from dogwoodmast.direct.target_gate import TargetGate
 from dogwoodmast.direct.waiting_line import WaitingLine
 
@@ -128,16 +128,20 @@
         gates = () if gate is None else (gate,)
         return self._line(f'target {name}', gates)
 
-    def choose(self, line: Line, tried: frozenset[str]) -> TargetGate | None:
+    def choose(
+        self, line: Line, tried: frozenset[str], answer_size: float
+    ) -> TargetGate | None:
         """Choose a target of a line with room.
 
         :param line: The line.
         :param tried: Names of targets that must not be chosen.
+        :param answer_size: Usual size of the answer, in bytes.
         :return: The target, or ``None``.
         """
         gates = [gate for gate in line.gates if gate.target.name not in tried]
         now = self._clock.monotonic()
-        return choose_gate(gates, self.zone, now, self._chance)
+        origin = Origin(self.zone, answer_size)
+        return choose_gate(gates, origin, now, self._chance)
 
     def usual_paces(self, service: str) -> dict[str, float]:
         """Tell how fast the targets of a service answer.
--- a/src/dogwoodmast/direct/meters.py
+++ b/src/dogwoodmast/direct/meters.py
@@ -76,7 +76,7 @@
         """
         route = call.route.name
         match end:
-            case Delivered(status):
+            case Delivered(status, _):
                 self._requests.labels(route, 'delivered', status).inc()
                 self._latency.labels(route).observe(seconds)
             case Rejected(problem):
--- a/src/dogwoodmast/direct/settings.py
+++ b/src/dogwoodmast/direct/settings.py
@@ -82,10 +82,15 @@
     :raises InvalidInput: With every mistake that is found.
     """
     text = read_settings_text(path)
-    return check_settings(text, str(path), _read_settings)
+    return check_settings(text, str(path), read_direct_settings)
 
 
-def _read_settings(root: TableReader) -> DirectSettings:
+def read_direct_settings(root: TableReader) -> DirectSettings:
+    """Read all tables of a settings file.
+
+    :param root: Whole file.
+    :return: The settings.
+    """
     return DirectSettings(
         vm=read_vm(root),
         listen=_read_listen(root),
--- a/src/dogwoodmast/direct/shard_reign.py
+++ b/src/dogwoodmast/direct/shard_reign.py
@@ -16,7 +16,11 @@
     ShardRecord,
     ShardUpdate,
 )
-from dogwoodmast.direct.shard_keeper import GrantCall, ShardKeeper
+from dogwoodmast.direct.shard_keeper import (
+    GrantAnswer,
+    GrantCall,
+    ShardKeeper,
+)
 from dogwoodmast.direct.shard_piece import Phase
 from dogwoodmast.direct.shard_planner import (
     PIECES_PER_TARGET,
@@ -263,6 +267,8 @@
             return
         result = await control.call(call)
         now = self._clock.monotonic()
+        if result.answer is not GrantAnswer.ACCEPTED:
+            _log_failure(call, result.answer)
         if isinstance(call, GrantCall):
             self._keeper.on_grant(call, result.answer, sent, now)
         else:
@@ -331,3 +337,15 @@
             news = self._news
             self._news = anyio.Event()
             news.set()
+
+
+def _log_failure(call: KeeperCall, answer: GrantAnswer) -> None:
+    log_event(
+        Event.GRANT_FAILED,
+        target=call.target.name,
+        first=call.piece.first,
+        last=call.piece.last,
+        fence=call.fence,
+        phase=call.piece.phase.value,
+        answer=answer.value,
+    )
--- a/src/dogwoodmast/direct/target_choice.py
+++ b/src/dogwoodmast/direct/target_choice.py
@@ -10,28 +10,45 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from random import Random
 
     from dogwoodmast.direct.target_gate import TargetGate
 
+
 FAR_FACTOR = 1.25
-"""Weight of a target in another zone; what its bytes cost over the worth of
-an answer, for the largest answers of the contract."""
+"""Weight of a target in another zone; the way there costs a hundredth of an
+answer's usual time, and the rest keeps traffic near."""
+FAR_BYTES = 30_000
+"""Size of an answer that adds one to the weight of another zone, in bytes;
+the price of as many bytes between zones is about a quarter of an answer's
+worth, so that large documents leave their zone only if it is crowded."""
 SHUNNED_FACTOR = 8.0
 """Weight of a target that failed a moment ago."""
 SPREAD = 0.3
 """Part by which chance changes a weight."""
 
 
+@attrs.frozen
+class Origin:
+    """Where an answer is to go."""
+
+    zone: str
+    """Availability zone of the own VM."""
+    answer_size: float = 0
+    """Usual size of the answer, in bytes."""
+
+
 def choose_gate(
-    gates: Iterable[TargetGate], zone: str, now: float, chance: Random
+    gates: Iterable[TargetGate], origin: Origin, now: float, chance: Random
 ) -> TargetGate | None:
     """Choose a target with room.
 
     :param gates: Targets that may run the request.
-    :param zone: Availability zone of the own VM.
+    :param origin: Where the answer is to go.
     :param now: Steady time in seconds.
     :param chance: Source of chance.
     :return: The target, or ``None`` if none has room.
@@ -41,16 +58,16 @@
     for gate in gates:
         if not gate.has_room:
             continue
-        weight = _weight(gate, zone, now) * (1 + SPREAD * chance.random())
+        weight = _weight(gate, origin, now) * (1 + SPREAD * chance.random())
         if weight < lowest:
             best, lowest = gate, weight
     return best
 
 
-def _weight(gate: TargetGate, zone: str, now: float) -> float:
+def _weight(gate: TargetGate, origin: Origin, now: float) -> float:
     weight = gate.pace * (1 + gate.in_flight / 2)
-    if gate.target.zone != zone:
-        weight *= FAR_FACTOR
+    if gate.target.zone != origin.zone:
+        weight *= FAR_FACTOR + origin.answer_size / FAR_BYTES
     if gate.is_shunned(now):
         weight *= SHUNNED_FACTOR
     return weight
--- a/src/dogwoodmast/direct/trace.py
+++ b/src/dogwoodmast/direct/trace.py
@@ -97,6 +97,7 @@
     age: float
     """Age of the copy of the store, in seconds."""
     _attempts: list[dict[str, Any]] = attrs.field(factory=list)
+    _running: str | None = None
     _line: dict[str, Any] = attrs.field(factory=dict)
     _end: dict[str, Any] = attrs.field(factory=dict)
     is_failure: bool = True
@@ -109,6 +110,7 @@
             'configuration': self.configuration,
             'age': round(self.age, 3),
             'attempts': self._attempts,
+            'running': self._running,
             **self._line,
             **self._end,
         }
@@ -121,6 +123,13 @@
         """
         self._line = {'waiting': waiting, 'expected': round(expected, 3)}
 
+    def on_start(self, target: Target) -> None:
+        """Note that a target is being asked.
+
+        :param target: The target.
+        """
+        self._running = target.name
+
     def on_attempt(
         self, target: Target, attempt: Attempt, seconds: float
     ) -> None:
@@ -130,6 +139,7 @@
         :param attempt: How it ended.
         :param seconds: Time that it took.
         """
+        self._running = None
         self._attempts.append(
             {
                 'target': target.name,
@@ -144,7 +154,7 @@
         :param end: The end, or ``None`` if the caller left or was cut off.
         """
         match end:
-            case Delivered(status):
+            case Delivered(status, _):
                 self.is_failure = False
                 self._end = {'outcome': 'delivered', 'status': status}
             case Rejected(problem):
@@ -166,5 +176,5 @@
             return f'broken: {reason}'
         case Failed(reply):
             return f'failed: status {reply.status}'
-        case Delivered(status):
+        case Delivered(status, _):
             return f'delivered: status {status}'
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -20,7 +20,7 @@
 from dogwoodmast.direct.messages import ShardAssignment, ShardUpdate, VmRecord
 from dogwoodmast.direct.retry_allowance import HEADROOM, RetryAllowance
 from dogwoodmast.direct.shard_table import ShardTable
-from dogwoodmast.direct.target_choice import choose_gate
+from dogwoodmast.direct.target_choice import Origin, choose_gate
 from dogwoodmast.direct.target_gate import TargetGate
 from dogwoodmast.direct.waiting_line import (
     Ticket,
@@ -31,6 +31,7 @@
 from dogwoodmast.key_value import Change, ChangePage, Snapshot, StoredValue
 
 ROUNDING = 1e-9
+HERE = Origin('a')
 
 
 def make_gate(name: str = 't', zone: str = 'a', slots: int = 6) -> TargetGate:
@@ -63,9 +64,9 @@
     good, bad = make_gate('good'), make_gate('bad')
     bad.on_failed(10.0)
     chance = random.Random(1)
-    chosen = {choose_gate([good, bad], 'a', 10.1, chance) for _ in range(50)}
+    chosen = {choose_gate([good, bad], HERE, 10.1, chance) for _ in range(50)}
     assert chosen == {good}
-    later = {choose_gate([good, bad], 'a', 13.0, chance) for _ in range(50)}
+    later = {choose_gate([good, bad], HERE, 13.0, chance) for _ in range(50)}
     assert later == {good, bad}
 
 
@@ -77,16 +78,28 @@
         slow.on_answer(0.3)
     chance = random.Random(1)
     near, far = make_gate('near'), make_gate('far', zone='b')
-    assert choose_gate([slow, fast], 'a', 0, chance) is fast
-    picks = [choose_gate([near, far], 'a', 0, chance) for _ in range(200)]
+    assert choose_gate([slow, fast], HERE, 0, chance) is fast
+    picks = [choose_gate([near, far], HERE, 0, chance) for _ in range(200)]
     assert picks.count(near) > 120
 
 
+def test_large_answers_stay_in_their_zone() -> None:
+    """They leave it only if its targets are crowded."""
+    near, far = make_gate('near'), make_gate('far', zone='b')
+    chance = random.Random(1)
+    origin = Origin('a', 90_000)
+    picks = [choose_gate([near, far], origin, 0, chance) for _ in range(200)]
+    assert picks.count(near) == len(picks)
+    for _ in range(40):
+        near.on_answer(1.0)
+    assert choose_gate([near, far], origin, 0, chance) is far
+
+
 def test_full_targets_are_not_chosen() -> None:
     """Without room anywhere nothing is chosen."""
     gate = make_gate()
     gate.in_flight = int(gate.limit)
-    assert choose_gate([gate], 'a', 0, random.Random(1)) is None
+    assert choose_gate([gate], HERE, 0, random.Random(1)) is None
 
 
 def test_overload_is_refused_early_and_answers_stay_useful() -> None:
