--- a/src/dogwoodmast/direct/connection_pool.py
+++ b/src/dogwoodmast/direct/connection_pool.py
@@ -1,11 +1,11 @@
-"""Connections of one entry VM to one target."""
+"""Connections of one entry VM to a target or to the store."""
 
 from __future__ import annotations
 
 import attrs
 
+from dogwoodmast.address import Address
 from dogwoodmast.clock import Clock
-from dogwoodmast.direct.catalog import Target
 from dogwoodmast.direct.target_connection import TargetConnection
 
 IDLE_TIME = 4.0
@@ -24,9 +24,10 @@
 
 @attrs.define(eq=False)
 class ConnectionPool:
-    """Idle connections to one target, most recently used first."""
+    """Idle connections to one address, most recently used first."""
 
-    _target: Target
+    _name: str
+    _address: Address
     _clock: Clock
     _idle: list[_Idle] = attrs.field(factory=list)
 
@@ -42,9 +43,7 @@
             if now < idle.until and idle.connection.is_usable:
                 return idle.connection
             await idle.connection.aclose()
-        return await TargetConnection.connect(
-            self._target.name, self._target.address
-        )
+        return await TargetConnection.connect(self._name, self._address)
 
     async def give_back(self, connection: TargetConnection) -> None:
         """Keep a connection for later, or close it.
--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -68,7 +68,7 @@
         self._path = path
         self._bounds = settings.bounds
         self._clock = BootClock()
-        self._store = MetadataStore(settings.store)
+        self._store = MetadataStore(settings.store, self._clock)
         self._handlers = MessageHandlers()
         self._record = VmRecord(
             settings.vm.name,
--- a/src/dogwoodmast/direct/gate_set.py
+++ b/src/dogwoodmast/direct/gate_set.py
@@ -98,7 +98,9 @@
         for life, target in present.items():
             if life not in self._gates:
                 self._gates[life] = TargetGate(target)
-                self._pools[life] = ConnectionPool(target, self._clock)
+                self._pools[life] = ConnectionPool(
+                    target.name, target.address, self._clock
+                )
             service = table.services.get(target.service)
             connections = service.max_connections if service else 0
             highest = highest_limit(target.slots, connections, vms)
--- a/src/dogwoodmast/direct/json_exchange.py
+++ b/src/dogwoodmast/direct/json_exchange.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import anyio
-import attrs
 import orjson
 
-from dogwoodmast.address import Address
-from dogwoodmast.direct.target_connection import Outgoing, TargetConnection
+from dogwoodmast.direct.connection_pool import ConnectionPool
+from dogwoodmast.direct.target_connection import Outgoing
 from dogwoodmast.errors import (
     ConnectFailed,
     ExchangeAborted,
@@ -15,23 +16,38 @@
     PlatformUnavailable,
 )
 
+if TYPE_CHECKING:
+    from dogwoodmast.address import Address
+    from dogwoodmast.clock import Clock
+
 CALL_TIMEOUT = 1.5
 """Time allowed for an answer, in seconds; a slow store of the contract takes
 up to 0.4 s, and a connection that fell silent has to be found out before the
 coordinator's lease ends."""
-IDLE_CONNECTIONS = 4
-"""Idle connections that are kept."""
 
 
-@attrs.define(eq=False)
 class JsonExchange:
     """Connections to the store."""
 
-    address: Address
-    """Address of the store."""
-    calls: int = 0
-    """Calls made so far."""
-    _idle: list[TargetConnection] = attrs.field(factory=list)
+    def __init__(self, address: Address, clock: Clock) -> None:
+        """Create the caller; connections open when needed.
+
+        :param address: Address of the store.
+        :param clock: Clock that counts suspended time.
+        """
+        self._address = address
+        self._pool = ConnectionPool('store', address, clock)
+        self._calls = 0
+
+    @property
+    def address(self) -> Address:
+        """Address of the store."""
+        return self._address
+
+    @property
+    def calls(self) -> int:
+        """Calls made so far."""
+        return self._calls
 
     async def call(
         self,
@@ -50,8 +66,8 @@
         :raises PlatformUnavailable: If nothing was sent.
         :raises PlatformAnswerLost: If the call may have taken effect.
         """
-        self.calls += 1
-        endpoint = str(self.address)
+        self._calls += 1
+        endpoint = str(self._address)
         try:
             with anyio.fail_after(timeout):
                 return await self._exchange(method, path, document)
@@ -62,38 +78,23 @@
 
     async def aclose(self) -> None:
         """Close every idle connection."""
-        while self._idle:
-            await self._idle.pop().aclose()
+        await self._pool.aclose()
 
     async def _exchange(
         self, method: str, path: str, document: object
     ) -> tuple[int, bytes]:
-        connection = await self._connect()
+        connection = await self._pool.take()
         try:
             head = await connection.start(
                 self._outgoing(method, path, document)
             )
             pieces = [piece async for piece in connection.read_body()]
         finally:
-            await self._give_back(connection)
+            await self._pool.give_back(connection)
         return head.status, b''.join(pieces)
 
-    async def _connect(self) -> TargetConnection:
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_usable:
-                return connection
-            await connection.aclose()
-        return await TargetConnection.connect('store', self.address)
-
-    async def _give_back(self, connection: TargetConnection) -> None:
-        if connection.is_usable and len(self._idle) < IDLE_CONNECTIONS:
-            self._idle.append(connection)
-        else:
-            await connection.reset()
-
     def _outgoing(self, method: str, path: str, document: object) -> Outgoing:
-        headers = [(b'host', str(self.address).encode())]
+        headers = [(b'host', str(self._address).encode())]
         body = b''
         if document is not None:
             headers.append((b'content-type', b'application/json'))
--- a/src/dogwoodmast/direct/shard_reign.py
+++ b/src/dogwoodmast/direct/shard_reign.py
@@ -278,7 +278,7 @@
     def _control_of(self, target: Target) -> TargetControl:
         life = (target.name, target.born)
         if life not in self._controls:
-            self._controls[life] = TargetControl(target)
+            self._controls[life] = TargetControl(target, self._clock)
         return self._controls[life]
 
     async def _record(self, pieces: list[Piece]) -> None:
--- a/src/dogwoodmast/direct/target_control.py
+++ b/src/dogwoodmast/direct/target_control.py
@@ -8,7 +8,7 @@
 import anyio
 import attrs
 
-from dogwoodmast.direct.catalog import Target
+from dogwoodmast.direct.connection_pool import ConnectionPool
 from dogwoodmast.direct.shard_keeper import GrantAnswer, GrantCall, ReleaseCall
 from dogwoodmast.direct.target_connection import Outgoing, TargetConnection
 from dogwoodmast.errors import BackendError, ConnectFailed, ExchangeAborted
@@ -19,7 +19,9 @@
 )
 
 if TYPE_CHECKING:
-    from dogwoodmast.direct.shard_keeper import KeeperCall
+    from dogwoodmast.clock import Clock
+    from dogwoodmast.direct.catalog import Target
+from dogwoodmast.direct.shard_keeper import KeeperCall
 
 GRANT_TIMEOUT = 0.6
 """Time allowed for the answer to a grant, in seconds; a third of the pause
@@ -27,8 +29,6 @@
 RELEASE_TIMEOUT = 3.0
 """Time allowed for the answer to a release, in seconds; targets answer when
 the running work on the keys has ended, so it covers the longest deadlines."""
-IDLE_CONNECTIONS = 4
-"""Idle connections to a target that are kept for further calls."""
 
 
 @attrs.frozen
@@ -41,13 +41,17 @@
     """State token of released keys."""
 
 
-@attrs.define(eq=False)
 class TargetControl:
     """Connections to one life of a target, for grants and releases."""
 
-    target: Target
-    """Target that is called."""
-    _idle: list[TargetConnection] = attrs.field(factory=list)
+    def __init__(self, target: Target, clock: Clock) -> None:
+        """Create the caller; connections open when needed.
+
+        :param target: Target that is called.
+        :param clock: Clock that counts suspended time.
+        """
+        self._target = target
+        self._pool = ConnectionPool(target.name, target.address, clock)
 
     async def call(self, order: KeeperCall) -> ControlResult:
         """Make a call.
@@ -56,32 +60,26 @@
         :return: How it ended.
         """
         outgoing, timeout = _outgoing(order)
-        connection: TargetConnection | None = None
         try:
             with anyio.fail_after(timeout):
-                connection = await self._connect()
-                return await self._exchange(connection, outgoing)
+                return await self._call(outgoing)
         except ConnectFailed:
             return ControlResult(GrantAnswer.UNSENT)
         except (BackendError, TimeoutError):
             return ControlResult(GrantAnswer.UNKNOWN)
-        finally:
-            await self._give_back(connection)
 
     async def aclose(self) -> None:
         """Close all idle connections."""
-        while self._idle:
-            await self._idle.pop().aclose()
-
-    async def _connect(self) -> TargetConnection:
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_usable:
-                return connection
-            await connection.aclose()
-        return await TargetConnection.connect(
-            self.target.name, self.target.address
-        )
+        await self._pool.aclose()
+
+    async def _call(self, outgoing: Outgoing) -> ControlResult:
+        connection = await self._pool.take()
+        try:
+            return await self._exchange(connection, outgoing)
+        finally:
+            # A connection whose answer did not come is reset, so that what
+            # is still on its way is not delivered later.
+            await self._pool.give_back(connection)
 
     async def _exchange(
         self, connection: TargetConnection, outgoing: Outgoing
@@ -97,16 +95,7 @@
             case HTTPStatus.MISDIRECTED_REQUEST:
                 return ControlResult(GrantAnswer.ANOTHER)
             case status:
-                raise ExchangeAborted(self.target.name, f'status {status}')
-
-    async def _give_back(self, connection: TargetConnection | None) -> None:
-        if connection is None:
-            return
-        if connection.is_usable and len(self._idle) < IDLE_CONNECTIONS:
-            self._idle.append(connection)
-        else:
-            # What is still on its way must not be delivered later.
-            await connection.reset()
+                raise ExchangeAborted(self._target.name, f'status {status}')
 
 
 def _outgoing(order: KeeperCall) -> tuple[Outgoing, float]:
--- a/src/dogwoodmast/platform/store.py
+++ b/src/dogwoodmast/platform/store.py
@@ -24,6 +24,7 @@
 
 if TYPE_CHECKING:
     from dogwoodmast.address import Address
+    from dogwoodmast.clock import Clock
 
 _MILLISECONDS = 1000
 _OK = frozenset((HTTPStatus.OK,))
@@ -35,12 +36,13 @@
 class MetadataStore:
     """Client of the store; it satisfies ``PolledStore``."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, clock: Clock) -> None:
         """Create a client; connections open when needed.
 
         :param address: Address of the store.
+        :param clock: Clock that counts suspended time.
         """
-        self._http = JsonExchange(address)
+        self._http = JsonExchange(address, clock)
 
     @property
     def calls(self) -> int:
