Notice targets that lost power; do not queue behind them

Ruled out: waiting lines, which are bounded by the objective.

Bytes that a target does not acknowledge now end their connection after 0.5 s (2 s before), and after two exchanges without any answer only one request at a time tries the holder of a key; the rest are refused at once.

--- a/src/dogwoodmast/direct/dispatcher.py
+++ b/src/dogwoodmast/direct/dispatcher.py
@@ -158,13 +158,21 @@
             case Delivered(_, size):
                 gate.on_answer(now - began)
                 self._learn_size(progress.call.route.name, size)
-            case Refused(_, was_sent):
-                progress.arrivals += was_sent
-                gate.on_refused(now)
-            case _:
+            case Refused(_, was_sent) if was_sent:
                 progress.arrivals += 1
-                progress.may_have_run = True
+                gate.on_refused(now)
+            case Refused():
+                gate.on_silent(now)
+            case Failed():
+                self._note_run(progress)
                 gate.on_failed(now)
+            case Broken():
+                self._note_run(progress)
+                gate.on_silent(now)
+
+    def _note_run(self, progress: Progress) -> None:
+        progress.arrivals += 1
+        progress.may_have_run = True
 
     def _learn_size(self, route: str, size: int) -> None:
         known = self._sizes.get(route, size)
@@ -202,6 +210,8 @@
         )
         if line is None:
             return self._refuse(progress, ProblemType.NO_OWNER, KEY_RETURN)
+        if not is_free and line.gates[0].is_down(self._clock.monotonic()):
+            return self._refuse(progress, ProblemType.NO_OWNER, KEY_RETURN)
         tried = progress.tried if is_free else frozenset()
         if all(gate.target.name in tried for gate in line.gates):
             return self._give_up(progress, ProblemType.OVERLOADED)
--- a/src/dogwoodmast/direct/target_connection.py
+++ b/src/dogwoodmast/direct/target_connection.py
@@ -30,9 +30,10 @@
 CONNECT_TIMEOUT = 0.5
 """Time allowed to open a connection, in seconds; a target that is up answers
 within the time between zones, and a lost packet is sent again after 0.2 s."""
-TCP_USER_TIMEOUT = 2000
+TCP_USER_TIMEOUT = 500
 """Time for which the kernel goes on sending bytes that a target does not
-acknowledge, in milliseconds; well below the contact bound of the platform."""
+acknowledge, in milliseconds; one lost packet is sent again after 200 ms, and
+a target that lost power is noticed before most deadlines."""
 READ_AHEAD = 262_144
 """Bytes of a body that are taken from the socket before they are asked for;
 the rest waits in the target."""
--- a/src/dogwoodmast/direct/target_gate.py
+++ b/src/dogwoodmast/direct/target_gate.py
@@ -28,6 +28,9 @@
 """Weight by which the usual time follows the mean upwards."""
 FIRST_PACE = 0.1
 """Time of an answer that is assumed before the first, in seconds."""
+DOWN_SILENCES = 2
+"""Exchanges without an answer, one after another, from which a target seems
+to be gone; a single one may be a connection that was closed when idle."""
 FIRST_PENALTY = 0.25
 """Time for which a target is passed over after one failure, in seconds."""
 LONGEST_PENALTY = 2.0
@@ -50,6 +53,7 @@
     _usual: float = 0
     _highest: float = FIRST_LIMIT
     _failures: int = 0
+    _silences: int = 0
     _shunned_until: float = float('-inf')
 
     @property
@@ -75,6 +79,17 @@
         """
         return now < self._shunned_until
 
+    def is_down(self, now: float) -> bool:
+        """Tell whether the target seems to be gone.
+
+        One request at a time still finds out whether it is back.
+
+        :param now: Steady time in seconds.
+        :return: Whether another request would only wait in vain.
+        """
+        is_silent = self._silences >= DOWN_SILENCES
+        return is_silent and self.in_flight > 0 and self.is_shunned(now)
+
     def bound_limit(self, highest: float) -> None:
         """Bound the limit.
 
@@ -89,6 +104,7 @@
         :param seconds: Time that it took.
         """
         self._failures = 0
+        self._silences = 0
         self._shunned_until = float('-inf')
         self.pace += (seconds - self.pace) * PACE_WEIGHT
         if not self._usual:
@@ -105,14 +121,24 @@
 
         :param now: Steady time in seconds.
         """
+        self._silences = 0
         self.limit = max(LOWEST_LIMIT, self.limit * SHRINKAGE)
         self._shun(now)
 
     def on_failed(self, now: float) -> None:
-        """Learn that an exchange broke or the answer was a failure.
+        """Learn that the target answered with a failure of its own.
+
+        :param now: Steady time in seconds.
+        """
+        self._silences = 0
+        self._shun(now)
+
+    def on_silent(self, now: float) -> None:
+        """Learn that no connection could be made, or none gave an answer.
 
         :param now: Steady time in seconds.
         """
+        self._silences += 1
         self._shun(now)
 
     def _shun(self, now: float) -> None:
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -70,6 +70,26 @@
     assert later == {good, bad}
 
 
+def test_requests_do_not_wait_for_a_target_that_is_gone() -> None:
+    """One at a time finds out whether it is back; the rest are told at once."""
+    gate = make_gate()
+    gate.on_silent(10.0)
+    gate.in_flight = 1
+    assert not gate.is_down(10.1)
+    gate.on_silent(10.1)
+    assert gate.is_down(10.2)
+    gate.in_flight = 0
+    assert not gate.is_down(10.2)
+    gate.in_flight = 1
+    gate.on_refused(10.3)
+    assert not gate.is_down(10.4)
+    for _ in range(4):
+        gate.on_silent(10.5)
+    assert not gate.is_down(20.0)
+    gate.on_answer(0.1)
+    assert not gate.is_down(10.6)
+
+
 def test_faster_and_nearer_targets_are_preferred() -> None:
     """Work goes where it is done soonest, but not all of it."""
     fast, slow = make_gate('fast'), make_gate('slow')
