Free keys of a target whose address another one has

Thirteen of 21 holders fell silent, seven of them with their address given to others, and the coordinator changed at 8.5 and 18.5 s; each new one waits a lease and a hold anew, and knew no address of targets that were no longer listed. Ruled out: waiting lines (overloaded ends at 8 s), records (all written but while the store turned the coordinator away).

A silent holder is asked once a second now, and another target's answer at its address frees the keys; a successor knows gone targets from its copy; holds are 5 s instead of 6.

--- a/src/dogwoodmast/direct/coordinator.py
+++ b/src/dogwoodmast/direct/coordinator.py
@@ -36,7 +36,7 @@
 write of the store and its way to the others take less."""
 PUSH_TIMEOUT = 0.6
 """Time allowed for a VM to take an update, in seconds."""
-HOLD_SHARE = 0.6
+HOLD_SHARE = 0.5
 """Part of the longest hold for which keys are granted: a target that fell
 silent frees its keys sooner, and keys still outlast an outage of the store
 by twice the coordinator's lease."""
@@ -144,6 +144,7 @@
     ) -> None:
         now = self._parts.clock.monotonic()
         listed = self._parts.directory.targets(now).values()
+        known = self._parts.directory.known_targets()
         for service in self._services():
             if service not in self._reigns:
                 opened = self._make_reign(service, reign)
@@ -152,7 +153,9 @@
                 self._reigns[service] = opened
                 stack.push_async_callback(opened.aclose)
                 tasks.start_soon(self._push, service, opened)
-            self._reigns[service].on_targets(targets_of(listed, service))
+            self._reigns[service].on_targets(
+                targets_of(listed, service), targets_of(known, service)
+            )
 
     def _make_reign(self, service: str, reign: Reign) -> ShardReign:
         parts = self._parts
--- a/src/dogwoodmast/direct/directory.py
+++ b/src/dogwoodmast/direct/directory.py
@@ -118,6 +118,17 @@
             if isinstance(entry.meaning, Target) and entry.is_present(now)
         }
 
+    def known_targets(self) -> list[Target]:
+        """Find all targets that were ever listed, with what they said last.
+
+        :return: Targets that are up or gone.
+        """
+        return [
+            entry.meaning
+            for entry in self._entries.values()
+            if isinstance(entry.meaning, Target)
+        ]
+
     def vms(self) -> dict[str, VmRecord]:
         """Find the entry VMs that are up.
 
--- a/src/dogwoodmast/direct/shard_keeper.py
+++ b/src/dogwoodmast/direct/shard_keeper.py
@@ -39,6 +39,12 @@
 seconds; the platform's allowance for packets held up on the way."""
 FIRST_RETRY = 0.3
 """Time after which a first grant that failed is sent again, in seconds."""
+PROBE_TIMEOUT = 0.6
+"""Time allowed for an answer to such a question, in seconds; it must not hold
+the keys back once the target's hold has run out."""
+PROBE_INTERVAL = 1.0
+"""Pause between questions to a target that did not answer, in seconds; its
+address may go to another one two seconds after its end."""
 AVOIDANCE = 4.0
 """Time for which a target that did not answer is given no further keys, in
 seconds; the contact bound of the platform and a heartbeat."""
@@ -88,11 +94,26 @@
     """Target to call."""
     fence: int
     """Fencing token."""
+    is_probe: bool = False
+    """Whether the target did not answer before."""
 
 
 KeeperCall = GrantCall | ReleaseCall
 
 
+def divide_keys(count: int) -> list[Piece]:
+    """Cut the key space into equal free ranges.
+
+    :param count: Number of ranges.
+    :return: The ranges in the order of their keys.
+    """
+    bounds = [KEY_COUNT * step // count for step in range(count + 1)]
+    return [
+        Piece(first, following - 1)
+        for first, following in itertools.pairwise(bounds)
+    ]
+
+
 @attrs.define(eq=False)
 class ShardKeeper:
     """Machine that follows who holds the keys of one service."""
@@ -151,24 +172,17 @@
                 piece.is_open = True
             self.pieces.append(piece)
 
-    def divide(self, count: int) -> None:
-        """Cut the free key space into equal ranges.
-
-        :param count: Number of ranges.
-        """
-        bounds = [KEY_COUNT * step // count for step in range(count + 1)]
-        self.pieces = [
-            Piece(first, following - 1)
-            for first, following in itertools.pairwise(bounds)
-        ]
-
-    def on_targets(self, targets: Iterable[Target]) -> None:
+    def on_targets(
+        self, targets: Iterable[Target], gone: Iterable[Target] = ()
+    ) -> None:
         """Learn which targets are listed.
 
         :param targets: Targets of the service.
+        :param gone: Targets that were listed earlier; they may yet hold
+            keys, and may answer.
         """
         self._targets = {target.name: target for target in targets}
-        for target in self._targets.values():
+        for target in (*gone, *self._targets.values()):
             self._last_known[target.name, target.born] = target
 
     def tick(self, now: float) -> list[KeeperCall]:
@@ -244,21 +258,30 @@
                 self._on_unanswered(piece, answer, now)
 
     def on_release(
-        self, call: ReleaseCall, answer: GrantAnswer, handover: str
+        self,
+        call: ReleaseCall,
+        answer: GrantAnswer,
+        handover: str,
+        now: float,
     ) -> None:
         """Learn how a release ended.
 
         :param call: The call.
         :param answer: How it ended.
         :param handover: State token that the target gave.
+        :param now: Steady time in seconds.
         """
         piece = call.piece
         piece.in_call = False
-        if answer in {GrantAnswer.ACCEPTED, GrantAnswer.ANOTHER}:
-            self._free(piece)
-            piece.handover = handover
-        else:
-            piece.phase = Phase.EXPIRING
+        match answer:
+            case GrantAnswer.ANOTHER:
+                self._free(piece)
+            case GrantAnswer.ACCEPTED if now >= piece.stray_until:
+                self._free(piece)
+                piece.handover = handover
+            case _:
+                piece.phase = Phase.EXPIRING
+                piece.due = now + PROBE_INTERVAL
 
     def split(self, piece: Piece, at: int) -> Piece:
         """Cut a range that no call is under way for.
@@ -287,10 +310,22 @@
             case Phase.RELEASING:
                 target = self._last_known[piece.target, piece.born]
                 return ReleaseCall(piece, target, piece.fence)
-            case Phase.EXPIRING if now >= piece.held_until:
-                self._free(piece)
+            case Phase.EXPIRING:
+                return self._serve_expiring(piece, now)
         return None
 
+    def _serve_expiring(self, piece: Piece, now: float) -> KeeperCall | None:
+        """Ask now and then whether another target has the address."""
+        if now >= piece.held_until:
+            self._free(piece)
+            return None
+        target = self._last_known.get((piece.target, piece.born))
+        is_late = now + PROBE_TIMEOUT > piece.held_until
+        if target is None or now < piece.due or is_late:
+            return None
+        piece.due = now + PROBE_INTERVAL
+        return ReleaseCall(piece, target, piece.fence, is_probe=True)
+
     def _serve_owned(self, piece: Piece, now: float) -> KeeperCall | None:
         listed = self._targets.get(piece.target)
         if listed is not None and listed.born != piece.born:
@@ -342,6 +377,7 @@
         self._avoided[piece.target] = now + AVOIDANCE
         if piece.phase is Phase.FENCING:
             piece.phase = Phase.EXPIRING
+            piece.due = now + PROBE_INTERVAL
         elif piece.held_until > LONG_AGO:
             piece.due = now + REBIRTH_DELAY
         elif piece.target in self._targets:
--- a/src/dogwoodmast/direct/shard_reign.py
+++ b/src/dogwoodmast/direct/shard_reign.py
@@ -20,6 +20,7 @@
     GrantAnswer,
     GrantCall,
     ShardKeeper,
+    divide_keys,
 )
 from dogwoodmast.direct.shard_piece import Phase
 from dogwoodmast.direct.shard_planner import (
@@ -177,15 +178,16 @@
             self._keeper.inherit(record, now, LEASE_TTL)
             self._log.add(self._keeper.pieces)
 
-    def on_targets(self, targets: list[Target]) -> None:
+    def on_targets(self, targets: list[Target], gone: list[Target]) -> None:
         """Learn which targets are listed.
 
         :param targets: Targets of the service.
+        :param gone: Targets of the service that were listed earlier.
         """
         known = set(self._keeper.targets)
         if {target.name for target in targets} - known:
             self._joined_at = self._clock.monotonic()
-        self._keeper.on_targets(targets)
+        self._keeper.on_targets(targets, gone)
 
     def on_report(self, report: LoadReport) -> ShardUpdate | None:
         """Take an entry VM's report.
@@ -240,7 +242,7 @@
         usable = self._keeper.usable_targets(now)
         is_settled = now >= self._joined_at + SETTLING_TIME
         if not self._keeper.pieces and usable and is_settled:
-            self._keeper.divide(len(usable) * PIECES_PER_TARGET)
+            self._keeper.pieces = divide_keys(len(usable) * PIECES_PER_TARGET)
 
     def _plan(self, now: float) -> None:
         if now < self._planned_at + PLAN_INTERVAL or not self._keeper.pieces:
@@ -272,7 +274,7 @@
         if isinstance(call, GrantCall):
             self._keeper.on_grant(call, result.answer, sent, now)
         else:
-            self._keeper.on_release(call, result.answer, result.handover)
+            self._keeper.on_release(call, result.answer, result.handover, now)
         self._publish()
 
     def _control_of(self, target: Target) -> TargetControl:
--- a/src/dogwoodmast/direct/target_control.py
+++ b/src/dogwoodmast/direct/target_control.py
@@ -9,7 +9,12 @@
 import attrs
 
 from dogwoodmast.direct.connection_pool import ConnectionPool
-from dogwoodmast.direct.shard_keeper import GrantAnswer, GrantCall, ReleaseCall
+from dogwoodmast.direct.shard_keeper import (
+    PROBE_TIMEOUT,
+    GrantAnswer,
+    GrantCall,
+    ReleaseCall,
+)
 from dogwoodmast.direct.target_connection import Outgoing, TargetConnection
 from dogwoodmast.errors import BackendError, ConnectFailed, ExchangeAborted
 from dogwoodmast.platform.grants import grant_call, release_call
@@ -108,7 +113,7 @@
             timeout = GRANT_TIMEOUT
         case ReleaseCall():
             path, body = release_call(piece.first, piece.last, order.fence)
-            timeout = RELEASE_TIMEOUT
+            timeout = PROBE_TIMEOUT if order.is_probe else RELEASE_TIMEOUT
     target = order.target
     headers = [
         (b'host', str(target.address).encode()),
