--- a/src/dogwoodmast/direct/coordinator.py
+++ b/src/dogwoodmast/direct/coordinator.py
@@ -36,7 +36,7 @@
 write of the store and its way to the others take less."""
 PUSH_TIMEOUT = 0.6
 """Time allowed for a VM to take an update, in seconds."""
-HOLD_SHARE = 0.5
+HOLD_SHARE = 0.6
 """Part of the longest hold for which keys are granted: a target that fell
 silent frees its keys sooner, and keys still outlast an outage of the store
 by twice the coordinator's lease."""
--- a/src/dogwoodmast/direct/shard_keeper.py
+++ b/src/dogwoodmast/direct/shard_keeper.py
@@ -39,6 +39,9 @@
 seconds; the platform's allowance for packets held up on the way."""
 FIRST_RETRY = 0.3
 """Time after which a first grant that failed is sent again, in seconds."""
+RENEWALS_PER_HOLD = 4
+"""Renewals within a hold; what is left of it when a coordinator has lost the
+store carries the keys through an outage of twice its lease."""
 PROBE_TIMEOUT = 0.6
 """Time allowed for an answer to such a question, in seconds; it must not hold
 the keys back once the target's hold has run out."""
@@ -361,7 +364,7 @@
         return GrantCall(piece, target, piece.fence, self.hold, piece.handover)
 
     def _on_accepted(self, piece: Piece, call: GrantCall, sent: float) -> None:
-        piece.due = sent + self.hold / 3
+        piece.due = sent + self.hold / RENEWALS_PER_HOLD
         self._avoided.pop(piece.target, None)
         if piece.phase is Phase.FENCING:
             piece.stray_until = LONG_AGO
