--- a/src/dogwoodmast/etcd.py
+++ b/src/dogwoodmast/etcd.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
+import httpcore
 import orjson
 
 from dogwoodmast.errors import (
@@ -14,11 +15,6 @@
     PlatformRefused,
     PlatformUnavailable,
 )
-from dogwoodmast.json_calls import (
-    LOST_ERRORS,
-    UNSENT_ERRORS,
-    JsonCalls,
-)
 from dogwoodmast.key_value import (
     Change,
     Delete,
@@ -32,7 +28,23 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    import httpcore
+CONNECT_TIMEOUT = 0.5
+"""Time allowed to open a connection, in seconds."""
+CALL_TIMEOUT = 2.0
+"""Time allowed for an answer, in seconds."""
+MAX_CONNECTIONS = 8
+
+_JSON_HEADERS = ((b'content-type', b'application/json'),)
+_UNSENT = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+)
+_LOST = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
 
 
 def _to_base64(text: str | bytes) -> str:
@@ -106,16 +118,20 @@
 
         :param endpoint: Base URL, such as ``http://127.0.0.1:2379``.
         """
-        self._http = JsonCalls(endpoint)
+        self._endpoint = endpoint.rstrip('/')
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS
+        )
+        self._calls = 0
 
     @property
     def calls(self) -> int:
         """Calls made so far, each watch counted as one."""
-        return self._http.calls
+        return self._calls
 
     async def aclose(self) -> None:
         """Close every connection."""
-        await self._http.aclose()
+        await self._pool.aclose()
 
     async def read(self, key: str) -> Snapshot:
         """Read one key.
@@ -194,6 +210,7 @@
         :param prefix: Beginning of the keys.
         :param start_revision: First revision to be told of.
         """
+        self._calls += 1
         body = {
             'create_request': {
                 'key': _to_base64(prefix),
@@ -202,23 +219,48 @@
             }
         }
         try:
-            async with self._http.open_stream('/v3/watch', body) as response:
+            async with self._pool.stream(
+                'POST',
+                f'{self._endpoint}/v3/watch',
+                headers=_JSON_HEADERS,
+                content=orjson.dumps(body),
+                extensions={'timeout': {'connect': CONNECT_TIMEOUT}},
+            ) as response:
                 self._check_status(response.status)
                 yield _read_changes(response)
-        except UNSENT_ERRORS:
-            raise PlatformUnavailable(self._http.endpoint) from None
-        except LOST_ERRORS:
-            raise PlatformAnswerLost(self._http.endpoint) from None
+        except _UNSENT:
+            raise PlatformUnavailable(self._endpoint) from None
+        except _LOST:
+            raise PlatformAnswerLost(self._endpoint) from None
 
     async def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
-        status, content = await self._http.call('POST', path, body)
-        self._check_status(status)
-        document: dict[str, Any] = orjson.loads(content)
+        self._calls += 1
+        try:
+            response = await self._pool.request(
+                'POST',
+                f'{self._endpoint}{path}',
+                headers=_JSON_HEADERS,
+                content=orjson.dumps(body),
+                extensions={
+                    'timeout': {
+                        'connect': CONNECT_TIMEOUT,
+                        'read': CALL_TIMEOUT,
+                        'write': CALL_TIMEOUT,
+                        'pool': CALL_TIMEOUT,
+                    }
+                },
+            )
+        except _UNSENT:
+            raise PlatformUnavailable(self._endpoint) from None
+        except _LOST:
+            raise PlatformAnswerLost(self._endpoint) from None
+        self._check_status(response.status)
+        document: dict[str, Any] = orjson.loads(response.content)
         return document
 
     def _check_status(self, status: int) -> None:
         if status != HTTPStatus.OK:
-            raise PlatformRefused(self._http.endpoint, status)
+            raise PlatformRefused(self._endpoint, status)
 
 
 async def _read_changes(response: httpcore.Response) -> AsyncIterator[Change]:
