Count the time of a grant into an earlier reign's end

Found by reading: a grant is checked against the lease and may then take 0.6 s to be sent, 0.4 s beyond the lease's end; a successor of a coordinator whose lease was taken away right after a renewal waited 3 s only. The state machine models calls as sent at once, so it could not show this.

--- a/src/dogwoodmast/direct/shard_reign.py
+++ b/src/dogwoodmast/direct/shard_reign.py
@@ -28,7 +28,7 @@
     KeyLoads,
     ShardPlanner,
 )
-from dogwoodmast.direct.target_control import TargetControl
+from dogwoodmast.direct.target_control import GRANT_TIMEOUT, TargetControl
 from dogwoodmast.direct.target_paces import TargetPaces
 from dogwoodmast.errors import PlatformAnswerLost, PlatformError
 from dogwoodmast.events import Event, log_event
@@ -57,6 +57,10 @@
 targets list themselves once a heartbeat and the copy of the store lags."""
 KEPT_UPDATES = 256
 """Changes that are kept for entry VMs that lag; others get a whole table."""
+EARLIER_REIGN_TIME = LEASE_TTL + GRANT_TIMEOUT
+"""Time for which grants of an earlier reign may go on arriving, in seconds:
+its lease may have been taken away just after a renewal, and a grant that was
+begun at the lease's end may take its whole time."""
 RECORD_RETRY = 0.2
 """Pause after a record that could not be written, in seconds."""
 
@@ -175,7 +179,7 @@
         record = decode('ShardRecord', found.value)
         if isinstance(record, ShardRecord):
             now = self._clock.monotonic()
-            self._keeper.inherit(record, now, LEASE_TTL)
+            self._keeper.inherit(record, now, EARLIER_REIGN_TIME)
             self._log.add(self._keeper.pieces)
 
     def on_targets(self, targets: list[Target], gone: list[Target]) -> None:
