--- a/src/dogwoodmast/direct/gateway.py
+++ b/src/dogwoodmast/direct/gateway.py
@@ -13,7 +13,7 @@
 from dogwoodmast.clock import Clock
 from dogwoodmast.direct.attempt import CONNECTION_HEADERS
 from dogwoodmast.direct.call import Call, Rejected, Reply
-from dogwoodmast.direct.catalog import pick_share
+from dogwoodmast.direct.catalog import Route, RouteTable, pick_share
 from dogwoodmast.direct.directory import Directory
 from dogwoodmast.direct.dispatcher import Dispatcher
 from dogwoodmast.direct.meters import Meters
@@ -31,11 +31,13 @@
 
     from dogwoodmast._asgi import RawHeaders, Receive, Scope
     from dogwoodmast.direct.call import Delivered
-    from dogwoodmast.direct.catalog import Route, RouteTable
+    from dogwoodmast.direct.catalog import CallerLimits
 
 STARTING_RETURN = 0.5
 """Time after which a caller is told to return to a VM that has no
 configuration yet, in seconds; two reads of the store."""
+HEADER_FRAME = 4
+"""Bytes of a header beside its name and value: colon, space, line end."""
 BUFFER_SIZE = 33_554_432
 """Bytes of request bodies that a VM holds at a time; a sixth of the memory
 of the smallest VM of the contract."""
@@ -47,12 +49,20 @@
     """The caller closed its connection before its request was whole."""
 
 
-class BodyTooLarge(Exception):
-    """The body is larger than the limit."""
+@attrs.define
+class CallerRefused(Exception):
+    """The request is not taken."""
 
+    problem: Problem
+    """What the caller is told."""
 
-class BuffersFull(Exception):
-    """Other requests' bodies take up all the memory for them."""
+
+@attrs.frozen
+class _Selected:
+    """Route of a request, with the configuration that it is part of."""
+
+    table: RouteTable
+    route: Route
 
 
 @attrs.define(eq=False)
@@ -104,45 +114,31 @@
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         arrived = self._clock.monotonic()
         table = self._directory.route_table
-        if table is None:
-            problem = Problem(ProblemType.STARTING, retry_after=STARTING_RETURN)
-            await self._send_problem(send, problem)
-            return
-        path = scope['raw_path'].decode('latin-1')
-        route = table.select(_host(scope), path)
-        if route is None:
-            await self._send_problem(send, Problem(ProblemType.UNKNOWN_SERVICE))
-            return
         try:
-            body = await self._read_body(receive, table.limits.body_bytes)
+            route = _select_route(table, scope)
+            body = await self._read_body(receive, route.table.limits)
         except CallerLeft:
             return
-        except BodyTooLarge:
-            await self._send_problem(send, Problem(ProblemType.BODY_TOO_LARGE))
-            return
-        except BuffersFull:
-            problem = Problem(
-                ProblemType.OVERLOADED, retry_after=STARTING_RETURN
-            )
-            await self._send_problem(send, problem)
+        except CallerRefused as refused:
+            await self._send_problem(send, refused.problem)
             return
         try:
-            call = self._make_call(scope, route, table, body, arrived)
-            await self._run(call, table, receive, send)
+            call = self._make_call(scope, route, body, arrived)
+            await self._run(call, route.table, receive, send)
         finally:
             self._buffered -= len(body)
 
     def _make_call(
         self,
         scope: Scope,
-        route: Route,
-        table: RouteTable,
+        selected: _Selected,
         body: bytes,
         arrived: float,
     ) -> Call:
+        route = selected.route
         fields = read_caller_fields(scope['headers'])
         service = pick_share(route.shares, self._chance.random())
-        known = table.services.get(service)
+        known = selected.table.services.get(service)
         is_sharded = known is not None and known.sharded
         return Call(
             attempt_id=fields.attempt_id or b'',
@@ -181,7 +177,7 @@
         self._meters.on_end(call, end, seconds)
         self._log.write(trace, call, seconds)
 
-    async def _read_body(self, receive: Receive, limit: int) -> bytes:
+    async def _read_body(self, receive: Receive, limits: CallerLimits) -> bytes:
         body = bytearray()
         has_more = True
         try:
@@ -190,7 +186,7 @@
                 piece = _body_piece(message)
                 body += piece
                 self._buffered += len(piece)
-                self._check_size(len(body), limit)
+                self._check_size(len(body), limits.body_bytes)
                 has_more = message.get('more_body', False)
         except BaseException:
             self._buffered -= len(body)
@@ -199,9 +195,12 @@
 
     def _check_size(self, size: int, limit: int) -> None:
         if size > limit:
-            raise BodyTooLarge
+            raise CallerRefused(Problem(ProblemType.BODY_TOO_LARGE))
         if self._buffered > BUFFER_SIZE:
-            raise BuffersFull
+            problem = Problem(
+                ProblemType.OVERLOADED, retry_after=STARTING_RETURN
+            )
+            raise CallerRefused(problem)
 
     async def send_reply(self, send: Send, call: Call, reply: Reply) -> None:
         """Pass a target's answer on.
@@ -263,6 +262,23 @@
         await self._gateway.send_reply(self._send, self._call, reply)
 
 
+def _select_route(table: RouteTable | None, scope: Scope) -> _Selected:
+    if table is None:
+        problem = Problem(ProblemType.STARTING, retry_after=STARTING_RETURN)
+        raise CallerRefused(problem)
+    size = sum(
+        len(name) + len(field) + HEADER_FRAME
+        for name, field in scope['headers']
+    )
+    if size > table.limits.header_bytes:
+        raise CallerRefused(Problem(ProblemType.HEADER_TOO_LARGE))
+    path = scope['raw_path'].decode('latin-1')
+    route = table.select(_host(scope), path)
+    if route is None:
+        raise CallerRefused(Problem(ProblemType.UNKNOWN_SERVICE))
+    return _Selected(table, route)
+
+
 def _body_piece(message: MutableMapping[str, Any]) -> bytes:
     if message['type'] == 'http.disconnect':
         raise CallerLeft
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -332,3 +332,14 @@
         )
     assert response.status == 413
     assert not target.runs
+
+
+async def test_headers_beyond_the_limit_are_refused() -> None:
+    """Headers that are too large are answered 431 and not passed on."""
+    target = PlatformTarget('p')
+    async with direct_fleet(target) as fleet:
+        await fleet.await_ready()
+        target.runs.clear()
+        response = await fleet.ask('/payment/x', attempt='x' * 17_000)
+    assert response.status == 431
+    assert not target.runs
