Give keys to another target when a first grant cannot be made

Found by reading: a free range whose new target could not be reached stayed with it while it was listed, and one whose address another target had was recorded and granted to it again at every look, a store write each. The new test fails without the change.

--- a/src/dogwoodmast/direct/shard_keeper.py
+++ b/src/dogwoodmast/direct/shard_keeper.py
@@ -37,8 +37,6 @@
 ARRIVAL_MARGIN = 0.3
 """Time by which a grant may arrive after its connection was reset, in
 seconds; the platform's allowance for packets held up on the way."""
-FIRST_RETRY = 0.3
-"""Time after which a first grant that failed is sent again, in seconds."""
 RENEWALS_PER_HOLD = 4
 """Renewals within a hold; what is left of it when a coordinator has lost the
 store carries the keys through an outage of twice its lease."""
@@ -256,6 +254,7 @@
                 piece.fence = self._next_fence()
                 piece.due = now
             case GrantAnswer.ANOTHER:
+                self._avoided[piece.target] = now + AVOIDANCE
                 self._free(piece)
             case _:
                 self._on_unanswered(piece, answer, now)
@@ -383,8 +382,9 @@
             piece.due = now + PROBE_INTERVAL
         elif piece.held_until > LONG_AGO:
             piece.due = now + REBIRTH_DELAY
-        elif piece.target in self._targets:
-            piece.due = now + FIRST_RETRY
+        else:
+            # No grant was ever sent, so the target cannot hold the keys.
+            self._free(piece)
 
     def _free(self, piece: Piece) -> None:
         piece.phase = Phase.FREE
--- a/tests/test_shard_keeper.py
+++ b/tests/test_shard_keeper.py
@@ -279,3 +279,23 @@
             else:
                 world.answer(one)
     assert {one.target for one in world.reign.keeper.pieces} == {'t2'}
+
+
+@pytest.mark.parametrize('answer', [GrantAnswer.UNSENT, GrantAnswer.ANOTHER])
+def test_target_that_cannot_be_granted_keys_is_passed_over(
+    answer: GrantAnswer,
+) -> None:
+    """Keys go to another target at once, and not back for a while."""
+    world = GrantWorld()
+    world.start_target('t1')
+    world.start_target('t2')
+    world.start_reign()
+    world.step(lambda usable: usable[0])
+    keeper = world.reign.keeper
+    for one in tuple(world.pending):
+        world.pending.remove(one)
+        assert isinstance(one.call, GrantCall)
+        keeper.on_grant(one.call, answer, one.sent, world.now)
+    world.step(lambda usable: usable[0])
+    assert {one.call.target.name for one in world.pending} == {'t2'}
+    assert [one.name for one in keeper.usable_targets(world.now)] == ['t2']
