--- a/src/dogwoodmast/direct/leadership.py
+++ b/src/dogwoodmast/direct/leadership.py
@@ -107,15 +107,20 @@
         self._end()
 
     async def resign(self) -> None:
-        """Give the role up, so that another VM can take it at once."""
+        """Give the role up, so that another VM can take it at once.
+
+        While the store does not answer nobody can take it, so the reign goes
+        on until its lease ends.
+        """
         reign = self._reign
         if reign is None:
             return
-        self._end()
         try:
             await self._store.revoke_lease(reign.lease)
         except PlatformError as error:
             log_event(Event.RENEWAL_FAILED, reason=error.message)
+            return
+        self._end()
 
     async def _write_record(self, lease: int) -> int | None:
         content = encode(self._record)
