Hold back requests that crash targets on the direct way

Cause: the quarantine was wired into the first design only; on the direct way a request that ends each target that runs it was sent on for as long as its caller returned.

Now an exchange that broke before any answer is followed by one connection attempt; a refused connection means that the process has ended, and all entry VMs are told. What was answered lately is never suspected, since popular requests run on targets that crash for other reasons. Ruled out: judging by time-outs, since a VM that is cut off would suspect all its requests.

Test: targets that end with their connections, two entry VMs; with the check switched off it fails (more than two crashes), with it exactly two.

--- a/src/dogwoodmast/crash_courier.py
+++ b/src/dogwoodmast/crash_courier.py
@@ -2,28 +2,29 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
 import anyio
 import attrs
 
 from dogwoodmast._wire import wire_message
+from dogwoodmast.address import Address
 from dogwoodmast.clock import Clock
 from dogwoodmast.errors import LinkError
 from dogwoodmast.events import Event, log_event
-from dogwoodmast.front_set import FrontSet
 from dogwoodmast.link_pool import LinkPool
 from dogwoodmast.quarantine import CrashNotice, Quarantine
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
-    from dogwoodmast.address import Address
     from dogwoodmast.link import Link
     from dogwoodmast.message_handlers import MessageHandlers
 
-SEND_INTERVAL = 0.05
-"""Time between looks for new notices, in seconds."""
+SEND_INTERVAL = 0.2
+"""Time between looks for new notices, in seconds; a caller's retry rarely
+comes sooner."""
 SEND_TIMEOUT = 1.0
 """Time allowed for one peer to take a notice, in seconds."""
 
@@ -39,12 +40,11 @@
 
 @attrs.define(eq=False)
 class CrashCourier:
-    """Sends crash notices to every member of every zone."""
+    """Sends crash notices to all other entry VMs."""
 
-    _vm: str
     _clock: Clock
     _links: LinkPool
-    _fronts: FrontSet
+    _peers: Callable[[], Iterable[Address]]
     _quarantine: Quarantine
 
     def register(self, handlers: MessageHandlers) -> None:
@@ -78,16 +78,6 @@
         for address in self._peers():
             tasks.start_soon(self._send, address, notice)
 
-    def _peers(self) -> set[Address]:
-        view = self._fronts.view
-        records = () if view is None else view.zones.values()
-        return {
-            member.address
-            for record in records
-            for member in record.members
-            if member.vm != self._vm
-        }
-
     async def _send(self, address: Address, notice: CrashNotice) -> None:
         try:
             with anyio.fail_after(SEND_TIMEOUT):
--- a/src/dogwoodmast/direct/attempt.py
+++ b/src/dogwoodmast/direct/attempt.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+import anyio
 import attrs
 
 from dogwoodmast.clock import Clock
@@ -43,6 +44,9 @@
 """Bytes of an answer that are gathered before any is passed on: an answer
 that breaks off earlier can still be replaced.  Twice the largest document of
 the contract."""
+CRASH_CHECK_TIMEOUT = 0.2
+"""Time to find out whether a target that broke off still takes connections,
+in seconds; a round trip between zones with a margin."""
 CONNECTION_HEADERS = frozenset(
     (
         b'connection',
@@ -88,7 +92,10 @@
                 return Broken(error.cause)
 
     async def _exchange(self, connection: TargetConnection) -> Attempt:
-        head = await connection.start(self._outgoing())
+        try:
+            head = await connection.start(self._outgoing())
+        except ExchangeAborted as error:
+            return Broken(error.cause, await self._has_crashed())
         fields = read_reply_fields(head.headers)
         misfit = self._misfit(fields)
         if misfit is not None:
@@ -106,6 +113,18 @@
             raise AnswerCut(error.message) from error
         return Delivered(head.status, len(body))
 
+    async def _has_crashed(self) -> bool:
+        """Tell whether the target's process has ended."""
+        try:
+            with anyio.fail_after(CRASH_CHECK_TIMEOUT):
+                connection = await self._pool.take()
+        except ConnectFailed as error:
+            return error.is_absent
+        except TimeoutError:
+            return False
+        await self._pool.give_back(connection)
+        return False
+
     def _misfit(self, fields: ReplyFields) -> Attempt | None:
         """Recognize an answer that belongs to another request."""
         if fields.attempt_id == self.call.attempt_id:
--- a/src/dogwoodmast/direct/call.py
+++ b/src/dogwoodmast/direct/call.py
@@ -35,6 +35,8 @@
     """Steady time at which it arrived, in seconds."""
     deadline: float
     """Steady time by which the caller needs an answer, in seconds."""
+    fingerprint: bytes = b''
+    """Hash of what is asked for; the same when it comes again."""
 
 
 @attrs.frozen
@@ -71,6 +73,8 @@
 
     reason: str
     """Why."""
+    has_crashed: bool = False
+    """Whether the target's process has ended."""
 
 
 @attrs.frozen
--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -10,7 +10,9 @@
 
 import anyio
 
+from dogwoodmast.address import Address
 from dogwoodmast.clock import BootClock
+from dogwoodmast.crash_courier import CrashCourier
 from dogwoodmast.direct.coordinator import Coordinator, CoordinatorParts
 from dogwoodmast.direct.directory import Directory
 from dogwoodmast.direct.directory_sync import DirectorySync, SourceChoice
@@ -156,14 +158,27 @@
             vm.name, self._view, self._gates, self._directory, self._links
         )
         sync.subscribe(self._on_changes)
-        for part in (sync, reporter, coordinator):
+        courier = CrashCourier(
+            self._clock,
+            self._links,
+            self._peer_addresses,
+            self._dispatcher.quarantine,
+        )
+        for part in (sync, reporter, coordinator, courier):
             part.register(self._handlers)
         await tasks.start(serve_links, listen.links, self._handlers)
         self._start_servers(tasks)
-        for task in (sync, registration, reporter, coordinator):
+        for task in (sync, registration, reporter, coordinator, courier):
             tasks.start_soon(task.run)
         tasks.start_soon(self._refresh, tasks)
 
+    def _peer_addresses(self) -> list[Address]:
+        return [
+            Address.parse(vm.links)
+            for vm in self._directory.vms().values()
+            if vm.name != self._record.name
+        ]
+
     def _start_servers(self, tasks: TaskGroup) -> None:
         listen = self._settings.listen
         self._add_gauges()
--- a/src/dogwoodmast/direct/dispatcher.py
+++ b/src/dogwoodmast/direct/dispatcher.py
@@ -27,6 +27,7 @@
 from dogwoodmast.direct.trace import Trace
 from dogwoodmast.direct.waiting_line import Ticket, is_in_time, return_time
 from dogwoodmast.problem import Outcome, Problem, ProblemType
+from dogwoodmast.quarantine import Quarantine
 
 if TYPE_CHECKING:
     from dogwoodmast.direct.gate_set import Line
@@ -72,6 +73,8 @@
     _clock: Clock
     bounds: Bounds
     """Bounds of the contract."""
+    quarantine: Quarantine = attrs.field(factory=Quarantine)
+    """Requests that crash targets."""
     vms: int = 1
     """Entry VMs that are up."""
     _chance: random.Random = attrs.field(factory=random.Random)
@@ -102,6 +105,9 @@
         self, progress: Progress, deliver: Deliver
     ) -> Rejected | Delivered:
         while True:
+            if self._is_held_back(progress.call):
+                rejected = self._hold_back(progress)
+                return await self._end(progress, rejected, deliver)
             gate = await self._find_place(progress)
             if isinstance(gate, Rejected):
                 return await self._end(progress, gate, deliver)
@@ -112,6 +118,15 @@
                 rejected = self._give_up(progress, _problem_of(progress.last))
                 return await self._end(progress, rejected, deliver)
 
+    def _hold_back(self, progress: Progress) -> Rejected:
+        if progress.may_have_run:
+            return self._give_up(progress, ProblemType.EXCHANGE_BROKEN)
+        return Rejected(Problem(ProblemType.QUARANTINED, Outcome.NOT_RUN))
+
+    def _is_held_back(self, call: Call) -> bool:
+        now = self._clock.monotonic()
+        return self.quarantine.holds(call.fingerprint, now)
+
     async def _end(
         self, progress: Progress, rejected: Rejected, deliver: Deliver
     ) -> Rejected | Delivered:
@@ -156,6 +171,7 @@
         progress.tried |= {gate.target.name}
         match attempt:
             case Delivered(_, size):
+                self.quarantine.on_answered(progress.call.fingerprint)
                 gate.on_answer(now - began)
                 self._learn_size(progress.call.route.name, size)
             case Refused(_, was_sent) if was_sent:
@@ -166,9 +182,13 @@
             case Failed():
                 self._note_run(progress)
                 gate.on_failed(now)
-            case Broken():
+            case Broken(_, has_crashed):
                 self._note_run(progress)
                 gate.on_silent(now)
+                if has_crashed:
+                    self.quarantine.on_crash(
+                        gate.target.name, progress.call.fingerprint, now
+                    )
 
     def _note_run(self, progress: Progress) -> None:
         progress.arrivals += 1
--- a/src/dogwoodmast/direct/gateway.py
+++ b/src/dogwoodmast/direct/gateway.py
@@ -25,6 +25,7 @@
 )
 from dogwoodmast.problem import Problem, ProblemType
 from dogwoodmast.problem_answer import problem_answer
+from dogwoodmast.request_id import hash_parts
 
 if TYPE_CHECKING:
     from collections.abc import MutableMapping
@@ -140,17 +141,21 @@
         service = pick_share(route.shares, self._chance.random())
         known = selected.table.services.get(service)
         is_sharded = known is not None and known.sharded
+        host = _host(scope)
+        method = scope['method'].encode('latin-1')
+        path = _path(scope)
         return Call(
             attempt_id=fields.attempt_id or b'',
             route=route,
             service=service,
             shard_key=fields.shard_key if is_sharded else None,
-            method=scope['method'].encode('latin-1'),
-            path=_path(scope),
+            method=method,
+            path=path,
             headers=_passed_headers(scope['headers']),
             body=body,
             arrived=arrived,
             deadline=arrived + _patience(fields, route),
+            fingerprint=hash_parts((host.encode(), method, path), body),
         )
 
     async def _run(
--- a/src/dogwoodmast/direct/target_connection.py
+++ b/src/dogwoodmast/direct/target_connection.py
@@ -110,6 +110,8 @@
                 _, connection = await loop.create_connection(
                     lambda: cls(name), address.host, address.port
                 )
+        except ConnectionRefusedError:
+            raise ConnectFailed(name, is_absent=True) from None
         except (OSError, TimeoutError):
             raise ConnectFailed(name) from None
         return connection
--- a/src/dogwoodmast/entry_vm_parts.py
+++ b/src/dogwoodmast/entry_vm_parts.py
@@ -40,6 +40,7 @@
 
     from anyio.abc import TaskGroup
 
+    from dogwoodmast.address import Address
     from dogwoodmast.settings import Settings
 
 
@@ -122,15 +123,24 @@
 
     def _make_crash_courier(self) -> CrashCourier:
         courier = CrashCourier(
-            self._settings.vm.name,
             self._clock,
             self._links,
-            self._fronts,
+            self._peer_addresses,
             self._quarantine,
         )
         courier.register(self._handlers)
         return courier
 
+    def _peer_addresses(self) -> set[Address]:
+        view = self._fronts.view
+        records = () if view is None else view.zones.values()
+        return {
+            member.address
+            for record in records
+            for member in record.members
+            if member.vm != self._settings.vm.name
+        }
+
     def _make_services(self) -> ZoneServices:
         base = KnowledgeBase()
         exchange = KnowledgeExchange(base, self._links)
--- a/src/dogwoodmast/errors.py
+++ b/src/dogwoodmast/errors.py
@@ -136,6 +136,8 @@
 
     target: str
     """Name of the target."""
+    is_absent: bool = False
+    """Whether its host answered that no process listens there."""
 
     @property
     def message(self) -> str:
--- a/src/dogwoodmast/quarantine.py
+++ b/src/dogwoodmast/quarantine.py
@@ -2,7 +2,9 @@
 
 A request is suspected when its exchange broke on a target that was found
 unreachable right afterwards.  Suspected on enough targets, it is refused
-before it reaches another one.  Any answer clears it.
+before it reaches another one.  Any answer clears it.  What was answered
+lately is not suspected: popular requests run on targets that crash for other
+reasons.
 """
 
 from __future__ import annotations
@@ -20,6 +22,8 @@
 """Time for which a suspicion lasts, in seconds."""
 MAX_SUSPECTS = 4096
 """Requests that are suspected at the same time at most."""
+MAX_ANSWERED = 4096
+"""Answered requests that are remembered at most; half a megabyte."""
 
 
 @wire_message('quarantine')
@@ -52,6 +56,7 @@
     _broken: dict[str, list[_Broken]] = attrs.field(factory=dict)
     _suspects: dict[bytes, _Suspicion] = attrs.field(factory=dict)
     _notices: list[CrashNotice] = attrs.field(factory=list)
+    _answered: dict[bytes, None] = attrs.field(factory=dict)
 
     @property
     def is_idle(self) -> bool:
@@ -85,9 +90,7 @@
         """
         for broken in self._broken.pop(target, ()):
             if now - broken.at <= CRASH_WINDOW:
-                notice = CrashNotice(broken.fingerprint, target)
-                self._notices.append(notice)
-                self.on_notice(notice, now)
+                self.on_crash(target, broken.fingerprint, now)
 
     def on_reachable(self, target: str) -> None:
         """Take in that a target answers, so that it did not crash.
@@ -102,6 +105,21 @@
         :param fingerprint: Hash of the request.
         """
         self._suspects.pop(fingerprint, None)
+        self._answered.pop(fingerprint, None)
+        self._answered[fingerprint] = None
+        if len(self._answered) > MAX_ANSWERED:
+            self._answered.pop(next(iter(self._answered)))
+
+    def on_crash(self, target: str, fingerprint: bytes, now: float) -> None:
+        """Take in that a target ended while it ran a request.
+
+        :param target: Name of the target.
+        :param fingerprint: Hash of the request.
+        :param now: Monotonic time in seconds.
+        """
+        notice = CrashNotice(fingerprint, target)
+        self._notices.append(notice)
+        self.on_notice(notice, now)
 
     def on_notice(self, notice: CrashNotice, now: float) -> None:
         """Take in a crash, seen here or by a peer.
@@ -109,6 +127,8 @@
         :param notice: The crash.
         :param now: Monotonic time in seconds.
         """
+        if notice.fingerprint in self._answered:
+            return
         self._forget(now)
         suspicion = self._suspects.setdefault(
             notice.fingerprint, _Suspicion(set(), now)
--- a/src/dogwoodmast/request_id.py
+++ b/src/dogwoodmast/request_id.py
@@ -8,6 +8,8 @@
 import xxhash
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from dogwoodmast.request import Request
 
 _TIMESTAMP_SHIFT = 80
@@ -29,7 +31,6 @@
     :param request: The request.
     :return: Hash over service, key, method, path, query and body.
     """
-    hasher = xxhash.xxh3_128()
     parts = (
         request.service,
         request.key,
@@ -37,9 +38,19 @@
         request.path,
         request.query,
     )
+    return hash_parts((part.encode() for part in parts), request.body)
+
+
+def hash_parts(parts: Iterable[bytes], body: bytes) -> bytes:
+    """Compute a hash over parts of a request.
+
+    :param parts: Short parts, told apart by their lengths.
+    :param body: Body.
+    :return: Hash of 16 bytes.
+    """
+    hasher = xxhash.xxh3_128()
     for part in parts:
-        encoded = part.encode()
-        hasher.update(len(encoded).to_bytes(4, 'big'))
-        hasher.update(encoded)
-    hasher.update(request.body)
+        hasher.update(len(part).to_bytes(4, 'big'))
+        hasher.update(part)
+    hasher.update(body)
     return hasher.digest()
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -7,19 +7,24 @@
 import orjson
 import pytest
 
+from crashing_target import CrashingTarget, crashing
 from direct_fleet import (
     DirectFleet,
     configuration,
     direct_fleet,
+    free_address,
     is_ready,
     route,
 )
 from dogwoodmast.direct.leadership import LEASE_TTL
+from dogwoodmast.quarantine import MAX_CRASHES
 from metadata_store import StoreFault
 from platform_target import PlatformTarget, TargetFault
 
 pytestmark = pytest.mark.anyio
 
+SPREAD_TIME = 0.6
+"""Time until all VMs know of a crash and the target is back, in seconds."""
 SOON = 3.0
 """Time allowed for what must come soon, in seconds."""
 
@@ -179,6 +184,24 @@
     assert dict(response.headers)[b'response-seal'] == b'sealed'
 
 
+async def test_request_that_crashes_targets_is_held_back() -> None:
+    """After two crashes no VM sends it on, and other requests go on."""
+    targets = [CrashingTarget(free_address()) for _ in range(4)]
+    async with crashing(*targets), direct_fleet(vms=2) as fleet:
+        for number, target in enumerate(targets):
+            fleet.addresses[f'p{number}'] = target.address
+            fleet.targets[f'p{number}'] = PlatformTarget(f'p{number}')
+            fleet.list_target(f'p{number}')
+        await fleet.await_ready()
+        for turn in range(6):
+            response = await fleet.ask('/receipt/poison', vm=turn % 2)
+            await anyio.sleep(SPREAD_TIME)
+        assert response.status == 503
+        assert outcome(response) == 'not_run'
+        assert (await fleet.ask('/receipt/x')).status == 200
+    assert sum(target.crashes for target in targets) == MAX_CRASHES
+
+
 async def test_deadline_is_kept() -> None:
     """A request that takes too long is answered at its deadline."""
     target = PlatformTarget('slow')
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -60,6 +60,15 @@
     assert not quarantine.holds(POISON, 2)
 
 
+def test_what_was_answered_lately_is_not_suspected() -> None:
+    """A popular request may run on many targets that crash at once."""
+    quarantine = Quarantine()
+    quarantine.on_answered(POISON)
+    for target in ('a', 'b', 'c'):
+        quarantine.on_crash(target, POISON, 1)
+    assert not quarantine.holds(POISON, 2)
+
+
 def test_closed_connection_of_a_living_target_is_no_crash() -> None:
     """A target that still answers, or fails much later, did not crash."""
     quarantine = Quarantine()
