Take the coordinator's role back without waiting for its old lease

Now a VM that finds its own name and address in the coordinator's record, but does not reign, ends that lease and stands at once: its ports are its own, so the earlier life is over; grants of it are waited out as before. Also, the copy of the store counts as current up to 2 s instead of 1 s: a read of a quiet store waits a second, so that small deployments saw no vacancy.

Tests: both ways over real sockets, fail without the change; reign of another VM, by name or by address, is left alone.

--- a/src/dogwoodmast/direct/coordinator.py
+++ b/src/dogwoodmast/direct/coordinator.py
@@ -21,6 +21,8 @@
 from dogwoodmast.link_pool import LinkPool
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from anyio.abc import TaskGroup
 
     from dogwoodmast.direct.leadership import Leadership, Reign
@@ -34,6 +36,10 @@
 RANK_DELAY = 0.15
 """Time by which each VM leaves the role to those before it, in seconds; a
 write of the store and its way to the others take less."""
+CURRENT_AGE = 2.0
+"""Age up to which the copy of the store tells whether there is a coordinator,
+in seconds; where nothing changes, a read waits one second and the next comes
+0.4 s later."""
 PUSH_TIMEOUT = 0.6
 """Time allowed for a VM to take an update, in seconds."""
 HOLD_SHARE = 0.6
@@ -88,12 +94,14 @@
         while not self._leaving:
             await anyio.sleep(LOOK_INTERVAL)
             now = self._parts.clock.monotonic()
+            if self._is_barred_by_itself(now):
+                await self._stand(self._leadership.reclaim)
             if not self._is_vacant(now):
                 vacant_since = None
                 continue
             vacant_since = now if vacant_since is None else vacant_since
             if now >= vacant_since + self._rank() * RANK_DELAY:
-                await self._stand()
+                await self._stand(self._leadership.stand)
                 vacant_since = None
 
     async def leave(self) -> None:
@@ -102,10 +110,25 @@
         await self._leadership.resign()
 
     def _is_vacant(self, now: float) -> bool:
+        return (
+            self._is_current(now)
+            and self._parts.directory.coordinator() is None
+            and bool(self._services())
+        )
+
+    def _is_current(self, now: float) -> bool:
         directory = self._parts.directory
-        if directory.route_table is None or directory.age(now) > 1:
+        return (
+            directory.route_table is not None
+            and directory.age(now) <= CURRENT_AGE
+        )
+
+    def _is_barred_by_itself(self, now: float) -> bool:
+        """Tell whether an earlier reign of the own VM bars the role."""
+        record = self._parts.directory.coordinator()
+        if record is None or not self._is_current(now):
             return False
-        return directory.coordinator() is None and bool(self._services())
+        return self._leadership.is_own(record)
 
     def _services(self) -> list[str]:
         table = self._parts.directory.route_table
@@ -118,9 +141,11 @@
         own = self._parts.record.name
         return names.index(own) if own in names else len(names)
 
-    async def _stand(self) -> None:
+    async def _stand(
+        self, stand: Callable[[], Awaitable[Reign | None]]
+    ) -> None:
         try:
-            reign = await self._leadership.stand()
+            reign = await stand()
         except PlatformError as error:
             log_event(Event.PLATFORM_FAILED, reason=error.message, age=0)
             return
--- a/src/dogwoodmast/direct/leadership.py
+++ b/src/dogwoodmast/direct/leadership.py
@@ -7,15 +7,15 @@
 import anyio
 import attrs
 
-from dogwoodmast._wire import encode
+from dogwoodmast._wire import decode, encode
 from dogwoodmast.direct.directory import COORDINATOR_KEY
+from dogwoodmast.direct.messages import VmRecord
 from dogwoodmast.errors import PlatformAnswerLost, PlatformError
 from dogwoodmast.events import Event, log_event
 from dogwoodmast.key_value import MISSING_REVISION, Expectation, Put
 
 if TYPE_CHECKING:
     from dogwoodmast.clock import Clock
-    from dogwoodmast.direct.messages import VmRecord
     from dogwoodmast.key_value import PolledStore
 
 LEASE_TTL = 3
@@ -70,6 +70,33 @@
         epoch = self._reign.epoch if self._reign else MISSING_REVISION
         return Expectation(COORDINATOR_KEY, epoch)
 
+    def is_own(self, record: VmRecord) -> bool:
+        """Tell whether a coordinator's record is the own VM's.
+
+        :param record: Record of this or an earlier life.
+        :return: Whether name and address are the own ones; an earlier life
+            at this address has ended, since its ports are free.
+        """
+        own = self._record
+        return (record.name, record.links) == (own.name, own.links)
+
+    async def reclaim(self) -> Reign | None:
+        """Become the coordinator in place of an earlier own reign.
+
+        It was lost with the process or while the store did not answer, and
+        would keep other VMs away until its lease ends.
+
+        :return: The reign, or ``None`` if another VM was first.
+        :raises PlatformError: If the store does not answer.
+        """
+        found = (await self._store.read(COORDINATOR_KEY)).first
+        if found is not None:
+            record = decode('VmRecord', found.value)
+            if not (isinstance(record, VmRecord) and self.is_own(record)):
+                return None
+            await self._store.revoke_lease(found.lease)
+        return await self.stand()
+
     async def stand(self) -> Reign | None:
         """Try to become the coordinator.
 
--- a/src/dogwoodmast/key_value.py
+++ b/src/dogwoodmast/key_value.py
@@ -30,6 +30,8 @@
     """Value."""
     revision: int
     """Store revision of its last change."""
+    lease: int = NO_LEASE
+    """Lease that it ends with, where the service tells it."""
 
 
 @attrs.frozen
--- a/src/dogwoodmast/platform/store.py
+++ b/src/dogwoodmast/platform/store.py
@@ -12,6 +12,7 @@
 from dogwoodmast.direct.json_exchange import CALL_TIMEOUT, JsonExchange
 from dogwoodmast.errors import HistoryLost, PlatformRefused
 from dogwoodmast.key_value import (
+    NO_LEASE,
     Change,
     ChangePage,
     Delete,
@@ -201,6 +202,7 @@
         key=document['key'],
         value=base64.b64decode(document['value']),
         revision=int(document['revision']),
+        lease=int(document.get('lease', NO_LEASE)),
     )
 
 
--- a/tests/direct_fleet.py
+++ b/tests/direct_fleet.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+import base64
 import contextlib
 import pathlib
 import socket
+import time
 from typing import TYPE_CHECKING, Any
 
 import anyio
 import attrs
 import httpcore
 
+from dogwoodmast._wire import encode
 from dogwoodmast.address import Address
 from dogwoodmast.direct.daemon import DirectVm
+from dogwoodmast.direct.directory import COORDINATOR_KEY
+from dogwoodmast.direct.messages import VmRecord
 from dogwoodmast.direct.settings import (
     Bounds,
     DirectListenSettings,
@@ -27,6 +32,9 @@
 
 HOST = 'shop.example'
 READY_TIMEOUT = 10.0
+KILLED_LEASE = 60.0
+"""Time that a killed coordinator's lease still lasts, in seconds; longer
+than tests wait."""
 OK = 200
 
 
@@ -153,7 +161,10 @@
 
 @contextlib.asynccontextmanager
 async def direct_fleet(
-    *targets: PlatformTarget, vms: int = 1, document: Any = None
+    *targets: PlatformTarget,
+    vms: int = 1,
+    document: Any = None,
+    reign_left: bool = False,
 ) -> AsyncIterator[DirectFleet]:
     """Start a store, targets and entry VMs."""
     content = StoreContent()
@@ -172,6 +183,8 @@
         async with anyio.create_task_group() as tasks:
             for number in range(vms):
                 settings = vm_settings(f'vm{number}', store_address)
+                if reign_left:
+                    leave_reign(content, settings)
                 fleet.callers.append(settings.listen.callers)
                 fleet.readiness.append(settings.listen.readiness)
                 vm = DirectVm(settings, pathlib.Path('none'))
@@ -182,6 +195,18 @@
             tasks.cancel_scope.cancel()
 
 
+def leave_reign(content: StoreContent, settings: DirectSettings) -> None:
+    """Leave the record of a coordinator that was killed a moment ago."""
+    record = VmRecord(
+        settings.vm.name, 'a', str(settings.listen.links), 'earlier'
+    )
+    lease = 5
+    content.leases[lease] = (KILLED_LEASE, time.monotonic() + KILLED_LEASE)
+    value = base64.b64encode(encode(record)).decode()
+    put = {'key': COORDINATOR_KEY, 'value': value, 'lease': lease}
+    content.write([put], [])
+
+
 async def is_ready(address: Address) -> bool:
     """Ask an entry VM whether it takes callers."""
     url = f'http://{address}/api/readiness'
--- a/tests/metadata_store.py
+++ b/tests/metadata_store.py
@@ -85,6 +85,13 @@
             if until <= now:
                 self.end_lease(lease)
 
+    def pause_leases(self, seconds: float) -> None:
+        """Let leases run on later, as some outages of the platform do."""
+        self.leases = {
+            lease: (ttl, until + seconds)
+            for lease, (ttl, until) in self.leases.items()
+        }
+
     def end_lease(self, lease: int) -> None:
         """End a lease and remove its keys."""
         self.leases.pop(lease, None)
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -9,6 +9,7 @@
 
 from crashing_target import CrashingTarget, crashing
 from direct_fleet import (
+    KILLED_LEASE,
     DirectFleet,
     configuration,
     direct_fleet,
@@ -16,6 +17,7 @@
     is_ready,
     route,
 )
+from dogwoodmast.direct.directory_sync import SUSPECT_TIME
 from dogwoodmast.direct.leadership import LEASE_TTL
 from dogwoodmast.quarantine import MAX_CRASHES
 from metadata_store import StoreFault
@@ -284,6 +286,28 @@
         fleet.store.fault = StoreFault.NONE
 
 
+async def test_coordinator_that_returns_goes_on_at_once() -> None:
+    """Its next life does not wait until the lease of the last has ended."""
+    target = PlatformTarget('s', sharded=True)
+    async with direct_fleet(target, reign_left=True) as fleet:
+        await fleet.await_ready()
+
+
+async def test_coordinator_goes_on_as_soon_as_the_store_is_back() -> None:
+    """An outage that outlasts its lease leaves its record in the way."""
+    target = PlatformTarget('s', sharded=True)
+    async with direct_fleet(target) as fleet:
+        await fleet.await_ready()
+        fleet.store.fault = StoreFault.BUSY
+        fleet.content.pause_leases(KILLED_LEASE)
+        await anyio.sleep(LEASE_TTL + 1)
+        fleet.store.fault = StoreFault.NONE
+        target.seen.clear()
+        with anyio.fail_after(SUSPECT_TIME + SOON):
+            while not target.seen:
+                await anyio.sleep(0.05)
+
+
 async def test_configuration_is_in_force_soon_and_never_older() -> None:
     """A new version counts within its bound, also after a lost history."""
     async with direct_fleet(PlatformTarget('p')) as fleet:
