--- a/src/dogwoodmast/target_control.py
+++ b/src/dogwoodmast/target_control.py
@@ -52,8 +52,6 @@
             document = await self._call('GET', HEALTH_PATH)
         except _NO_CONNECTION:
             return Poll(connected=False)
-        except httpcore.TimeoutException:
-            return Poll(connected=True, silent=True)
         except _BROKEN:
             return Poll(connected=True)
         draining = document.get('draining')
--- a/src/dogwoodmast/target_front.py
+++ b/src/dogwoodmast/target_front.py
@@ -46,12 +46,8 @@
 """Longest time between two looks at the clock, in seconds."""
 MIN_TICK = 0.001
 """Shortest time between two looks at the clock, in seconds."""
-HEALTH_INTERVAL = 1.0
-"""Time between two polls of the health endpoint, in seconds; a frozen target
-must be found, given up and replaced within four."""
-SILENT_INTERVAL = 0.25
-"""Time until the next poll after one that got no answer, in seconds; several
-must fit into the time after which a target counts as lost."""
+HEALTH_INTERVAL = 2.0
+"""Time between two polls of the health endpoint, in seconds."""
 PREFIX_BYTES = 8
 """Random bytes in the names of exchanges."""
 
@@ -244,13 +240,11 @@
                 self._wake = anyio.Event()
 
     async def _poll_health(self) -> None:
-        pause = HEALTH_INTERVAL
         while True:
-            with anyio.move_on_after(pause):
+            with anyio.move_on_after(HEALTH_INTERVAL):
                 await self._probe.wait()
             self._probe = anyio.Event()
             poll = await self._control.poll()
-            pause = SILENT_INTERVAL if poll.silent else HEALTH_INTERVAL
             now = self._clock.monotonic()
             self._perform(self._dispatcher.on_polled(poll, now))
 
--- a/src/dogwoodmast/target_health.py
+++ b/src/dogwoodmast/target_health.py
@@ -23,8 +23,6 @@
     """Whether the target accepted the connection."""
     draining: bool | None = None
     """Whether it says that it is leaving; ``None`` if it said nothing."""
-    silent: bool = False
-    """Whether no answer came in time, as from a process that is frozen."""
 
 
 @attrs.define
@@ -33,13 +31,11 @@
 
     What requests show goes before what the health endpoint says: while
     requests fail, the endpoint cannot make the target healthy, and while
-    they succeed, it cannot make it unreachable.  A target that takes
-    connections but answers neither requests nor polls is unreachable too.
+    they succeed, it cannot make it unreachable.
     """
 
     _target: str
     _failing_since: float | None = None
-    _silent_since: float | None = None
     _last_failure: float = -math.inf
     _last_life: float = -math.inf
     _draining: bool = False
@@ -56,12 +52,9 @@
         :param now: Monotonic time in seconds.
         :return: Time in seconds; zero if the target answers.
         """
-        since = [
-            start
-            for start in (self._failing_since, self._silent_since)
-            if start is not None
-        ]
-        return max(now - min(since, default=now), 0)
+        if self._failing_since is None:
+            return 0
+        return max(now - self._failing_since, 0)
 
     def report(self, now: float) -> TargetHealth:
         """Report the health.
@@ -80,7 +73,6 @@
         """
         self._last_life = now
         self._failing_since = None
-        self._silent_since = None
 
     def on_failed(self, now: float) -> None:
         """Take in that a request failed on a fresh connection.
@@ -105,11 +97,6 @@
             if now - self._last_life > RECOVERY_TIME:
                 self.on_failed(now)
             return
-        if poll.silent:
-            if self._silent_since is None:
-                self._silent_since = now
-            return
-        self._silent_since = None
         if now - self._last_failure > RECOVERY_TIME:
             self._failing_since = None
         if poll.draining is not None:
