Soak real entry VMs in drawn series of troubles

Entry VMs run as processes among stand-ins of the store (a server for each VM) and of targets, each behind a loopback path that is slow, resets, holds bytes up both ways or one way. hypothesis draws up to six overlapping troubles of VMs, targets, ways, store and configuration, and shrinks a plan that fails. Checked: the history checks of the failure runs, one holder of a key at any grant, versions never back, answers in time, nothing cut by planned stops, nothing late to a target that left, recovery in 15 s, no process that ends by itself.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import secrets
 from typing import TYPE_CHECKING
 
 import pytest
@@ -17,6 +18,10 @@
 pytest_plugins = ('known_red',)
 
 pytest.register_assert_rewrite('failure_run')
+SOAK_SEEDS = (1,)
+"""Seeds of the soak in a usual run."""
+MOST_SEEDS = 1_000_000_000
+
 settings.register_profile(
     'ci', derandomize=True, deadline=None, max_examples=100, database=None
 )
@@ -28,6 +33,22 @@
     parser.addoption(
         '--long', action='store_true', help='run the long failure runs too'
     )
+    parser.addoption(
+        '--soak-seed', type=int, action='append', help='soak with this seed'
+    )
+    parser.addoption(
+        '--soak-seeds', type=int, default=0, help='soak with fresh seeds'
+    )
+
+
+def pytest_generate_tests(metafunc: pytest.Metafunc) -> None:
+    """Choose the seeds of soaks."""
+    if 'soak_seed' not in metafunc.fixturenames:
+        return
+    given = metafunc.config.getoption('--soak-seed') or []
+    count = metafunc.config.getoption('--soak-seeds')
+    fresh = [secrets.randbelow(MOST_SEEDS) for _ in range(count)]
+    metafunc.parametrize('soak_seed', given + fresh or SOAK_SEEDS)
 
 
 def pytest_configure(config: pytest.Config) -> None:
--- a/tests/metadata_store.py
+++ b/tests/metadata_store.py
@@ -146,6 +146,8 @@
     content: StoreContent
     fault: StoreFault = StoreFault.NONE
     delay: float = 0
+    address: Any = None
+    """Where it is served, for fleets with several servers."""
     calls: list[str] = attrs.field(factory=list)
 
     async def __call__(
