--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -246,7 +246,7 @@
         targets[0].runs.clear()
         for key in range(0, 65_536, 2048):
             response = await fleet.ask('/balance/x', key=key, vm=key % 2)
-            assert response.status == 200
+            assert response.status == 200, (key, response.content)
     assert not targets[0].runs
 
 
