--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -27,6 +27,9 @@
 
 SPREAD_TIME = 0.6
 """Time until all VMs know of a crash and the target is back, in seconds."""
+RETURN_TIME = 2.0
+"""Time after an outage of the store in which lapsed entries return, in
+seconds; the platform's."""
 SOON = 3.0
 """Time allowed for what must come soon, in seconds."""
 
@@ -286,6 +289,31 @@
         fleet.store.fault = StoreFault.NONE
 
 
+async def test_entries_that_lapse_in_an_outage_are_served_on() -> None:
+    """They are back soon after the store's return, if the targets live."""
+    targets = [PlatformTarget('s', sharded=True), PlatformTarget('p')]
+    async with direct_fleet(*targets) as fleet:
+        await fleet.await_ready()
+        fleet.store.fault = StoreFault.BUSY
+        await anyio.sleep(SUSPECT_TIME)
+        for target in targets:
+            fleet.unlist_target(target.name)
+        fleet.store.fault = StoreFault.NONE
+        await assert_served(fleet, RETURN_TIME - SPREAD_TIME)
+        for target in targets:
+            fleet.list_target(target.name)
+        await assert_served(fleet, SOON)
+
+
+async def assert_served(fleet: DirectFleet, lasting: float) -> None:
+    """Check for a time that requests with and without a key are answered."""
+    end = anyio.current_time() + lasting
+    while anyio.current_time() < end:
+        assert (await fleet.ask('/balance/x', key=5)).status == 200
+        assert (await fleet.ask('/payment/x', method='POST')).status == 200
+        await anyio.sleep(0.05)
+
+
 async def test_coordinator_that_returns_goes_on_at_once() -> None:
     """Its next life does not wait until the lease of the last has ended."""
     target = PlatformTarget('s', sharded=True)
