--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 
 import tempfile
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import anyio
 import attrs
@@ -25,11 +25,11 @@
     VmTrouble,
     plans,
 )
-from soak_target import Ledger, SoakTarget
+from soak_target import KEYS, Ledger, SoakTarget
 from soak_world import check_drains, check_in_time, check_stops, play
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import MutableMapping, Sequence
 
 PLANS_A_SEED = 2
 """Plans that are played for each seed."""
@@ -113,6 +113,29 @@
     assert not ledger.violations
 
 
+def test_released_key_is_not_run_from_the_queue() -> None:
+    """A request that waited for a slot while its key left is refused."""
+    target = SoakTarget('a', True, Ledger())
+    key = KEYS[0]
+    target._holds[key] = (1, float('inf'))
+    headers = {'request-attempt-id': 'r', 'shard-key': str(key)}
+    sent: list[MutableMapping[str, Any]] = []
+
+    async def send(message: MutableMapping[str, Any]) -> None:
+        sent.append(message)
+
+    async def release_while_queued() -> None:
+        async with anyio.create_task_group() as tasks, target._limit:
+            target._limit.total_tokens = 1
+            tasks.start_soon(target._run, 'GET', headers, key, send)
+            await anyio.wait_all_tasks_blocked()
+            target._holds.clear()
+
+    anyio.run(release_while_queued)
+    assert sent[0]['status'] == 421
+    assert not target.ledger.runs
+
+
 def _first_of_each(broken: list[Violation]) -> dict[str, str]:
     found: dict[str, str] = {}
     for violation in broken:
