--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,8 +18,8 @@
 pytest_plugins = ('known_red',)
 
 pytest.register_assert_rewrite('failure_run')
-SOAK_SEEDS = (1,)
-"""Seeds of the soak in a usual run."""
+SOAK_SEEDS = (1, 55_572_538)
+"""Seeds of the soak in a usual run; the second failed once, its cause open."""
 MOST_SEEDS = 1_000_000_000
 
 settings.register_profile(
--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -343,7 +343,7 @@
 
 
 def check_drains(plan: Sequence[Step], ledger: Ledger) -> list[Violation]:
-    """A target that left gets nothing late from VMs in touch."""
+    """A target that left gets nothing late where nothing else is troubled."""
     out_of_touch = OnStore | OnPath | OnVm
     if any(isinstance(step.trouble, out_of_touch) for step in plan):
         return []
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -91,7 +91,7 @@
 
 
 def test_request_to_a_target_that_left_is_found() -> None:
-    """If every VM was in touch."""
+    """If every VM reached store and targets."""
     ledger = Ledger(late=[Violation('drained', '')])
     assert check_drains([DRAIN], ledger)
     outage = Step(0, 1, OnStore(None, StoreFault.BUSY))
