Log when a configuration comes into force, changes of source, late loops and link traffic

The logs could not tell a full link from a busy event loop, nor when each VM had a version and from which source. No decision changed.

- CONFIGURATION_IN_FORCE with version, revision, source and age
- SOURCE_CHANGED with both sources, the reason and the age of the copy
- EVENT_LOOP_LATE, and LINK_TRAFFIC with bytes by class of message
- metrics of the same

--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -21,6 +21,7 @@
 from dogwoodmast.direct.leadership import Leadership
 from dogwoodmast.direct.messages import VmRecord
 from dogwoodmast.direct.metrics import Metrics
+from dogwoodmast.direct.process_monitor import ProcessMonitor
 from dogwoodmast.direct.readiness import Readiness
 from dogwoodmast.direct.settings import DirectSettings, load_direct_settings
 from dogwoodmast.direct.shard_view import LoadReporter, ShardView
@@ -31,6 +32,7 @@
 from dogwoodmast.http_server import make_http_server
 from dogwoodmast.input_errors import InvalidInput
 from dogwoodmast.link_pool import LinkPool, serve_links
+from dogwoodmast.link_traffic import LinkTraffic
 from dogwoodmast.message_handlers import MessageHandlers
 from dogwoodmast.platform.documents import decode_catalog_item
 from dogwoodmast.platform.store import MetadataStore
@@ -83,6 +85,7 @@
             str(settings.listen.links),
             secrets.token_hex(INCARNATION_BYTES),
         )
+        self._traffic = LinkTraffic()
         self._links = LinkPool(
             Hello(
                 self._record.name,
@@ -91,6 +94,7 @@
                 PROTOCOL_VERSION,
             ),
             self._handlers,
+            self._traffic,
         )
         self._directory = Directory(decode_catalog_item)
         self._targets = TargetSet(settings.vm.zone, self._clock)
@@ -163,6 +167,9 @@
             vm.name, self._view, self._targets, self._directory, self._links
         )
         sync.subscribe(self._on_changes)
+        monitor = ProcessMonitor(self._traffic)
+        monitor.add_gauges(self._metrics)
+        self._add_sync_gauges(sync)
         notifier = CrashNotifier(
             self._clock,
             self._links,
@@ -171,9 +178,18 @@
         )
         for part in (sync, reporter, coordinator, notifier):
             part.register(self._handlers)
-        await tasks.start(serve_links, listen.links, self._handlers)
+        await tasks.start(
+            serve_links, listen.links, self._handlers, self._traffic
+        )
         self._start_servers(tasks)
-        for task in (sync, registration, reporter, coordinator, notifier):
+        for task in (
+            sync,
+            registration,
+            reporter,
+            coordinator,
+            notifier,
+            monitor,
+        ):
             tasks.start_soon(task.run)
         tasks.start_soon(self._refresh, tasks)
 
@@ -243,6 +259,27 @@
             lambda: self._directory.age(self._clock.monotonic()),
         )
 
+    def _add_sync_gauges(self, sync: DirectorySync) -> None:
+        self._metrics.add_gauge(
+            'configuration_version',
+            'Version of the configuration in force, 0 before the first.',
+            self._configuration_version,
+        )
+        self._metrics.add_gauge(
+            'reads_store',
+            'Whether changes are read from the store.',
+            lambda: sync.reads_store,
+        )
+        self._metrics.add_gauge(
+            'source_changes',
+            'Changes of the source of the copy of the store so far.',
+            lambda: sync.source_changes,
+        )
+
+    def _configuration_version(self) -> int:
+        table = self._directory.route_table
+        return table.version if table else 0
+
     async def _await_stop(self) -> None:
         watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with anyio.open_signal_receiver(*watched) as signals:
--- a/src/dogwoodmast/direct/directory_sync.py
+++ b/src/dogwoodmast/direct/directory_sync.py
@@ -153,6 +153,25 @@
         self._backoff = Backoff(READ_INTERVAL, SUSPECT_PERIOD)
         self._listeners: list[Callable[[list[str]], None]] = []
         self._store_failed = False
+        self._source: Source | None = None
+        self._source_changes = 0
+        self._last_failure = 'start'
+        self._version_in_force = 0
+
+    @property
+    def source_name(self) -> str:
+        """Name of the VM that changes are read from, or ``store``."""
+        return _describe(self._source)
+
+    @property
+    def reads_store(self) -> bool:
+        """Whether changes are read from the store, not from another VM."""
+        return isinstance(self._source, StoreSource)
+
+    @property
+    def source_changes(self) -> int:
+        """Number of changes of the source so far."""
+        return self._source_changes
 
     @property
     def store_answers(self) -> bool:
@@ -179,12 +198,28 @@
             now = self._clock.monotonic()
             vms = self._directory.vms().values()
             source = self._selector.choose(vms, now)
+            self._on_source(source, now)
             match source:
                 case StoreSource():
                     await anyio.sleep(await self._read_store(source, now))
                 case VmSource():
                     await self._pull(source, now)
 
+    def _on_source(self, source: Source, now: float) -> None:
+        if source == self._source:
+            return
+        log_event(
+            Event.SOURCE_CHANGED,
+            previous=self.source_name,
+            source=_describe(source),
+            reason=self._last_failure,
+            revision=self._directory.revision,
+            age=round(self._directory.age(now), 3),
+        )
+        self._source = source
+        self._source_changes += 1
+        self._last_failure = 'an earlier source is tried again'
+
     async def _on_pull(self, _link: Link, message: DirectoryPull) -> object:
         return self._directory.page_since(
             message.after, self._clock.monotonic()
@@ -210,6 +245,7 @@
         now = self._clock.monotonic()
         self._directory.on_outage(now)
         self._selector.on_failure(source, now)
+        self._last_failure = error.message
         if not self._store_failed:
             self._store_failed = True
             age = round(self._directory.age(now), 3)
@@ -240,6 +276,7 @@
             return
         self._notify(self._directory.on_page(page, now, received_at))
         if page.age > MAX_SOURCE_AGE:
+            self._last_failure = f'copy is {page.age:.3f} s old'
             self._selector.on_failure(source, received_at)
             return
         await anyio.sleep(PULL_INTERVAL)
@@ -251,6 +288,7 @@
                 answer = await self._links.call(source.address, request)
         except (LinkError, TimeoutError) as error:
             reason = str(error) or type(error).__name__
+            self._last_failure = reason
             log_event(Event.PULL_FAILED, peer=source.name, reason=reason)
             return None
         return answer if isinstance(answer, DirectoryPage) else None
@@ -258,9 +296,23 @@
     def _notify(self, changed: list[str]) -> None:
         if not changed:
             return
+        self._log_configuration()
         for listener in self._listeners:
             listener(changed)
 
+    def _log_configuration(self) -> None:
+        table = self._directory.route_table
+        if table is None or table.version == self._version_in_force:
+            return
+        self._version_in_force = table.version
+        log_event(
+            Event.CONFIGURATION_IN_FORCE,
+            version=table.version,
+            revision=self._directory.revision,
+            source=self.source_name,
+            age=round(self._directory.age(self._clock.monotonic()), 3),
+        )
+
 
 def _record_name(record: VmRecord) -> str:
     return record.name
@@ -270,6 +322,16 @@
     return VmSource(record.name, Address.parse(record.links))
 
 
+def _describe(source: Source | None) -> str:
+    match source:
+        case VmSource(name):
+            return name
+        case StoreSource():
+            return 'store'
+        case None:
+            return 'none'
+
+
 def _source_name(source: Source) -> str:
     match source:
         case VmSource(name):
--- a/src/dogwoodmast/events.py
+++ b/src/dogwoodmast/events.py
@@ -27,6 +27,7 @@
     VM_STOPPED = (102, logbook.INFO)
     SETTINGS_RELOADED = (103, logbook.INFO)
     SETTINGS_REJECTED = (104, logbook.ERROR)
+    EVENT_LOOP_LATE = (105, logbook.WARNING)
     CONFIGURATION_IN_FORCE = (200, logbook.INFO)
     CONFIGURATION_STALE = (201, logbook.WARNING)
     ZONE_RECORD_WRITTEN = (300, logbook.INFO)
@@ -42,6 +43,7 @@
     VM_LIST_FAILED = (402, logbook.WARNING)
     DIRECTORY_RELOADED = (404, logbook.INFO)
     LISTING_FAILED = (405, logbook.WARNING)
+    SOURCE_CHANGED = (406, logbook.INFO)
     TARGET_LISTED = (410, logbook.INFO)
     TARGET_LEAVING = (411, logbook.INFO)
     TARGET_GONE = (412, logbook.INFO)
@@ -52,6 +54,7 @@
     LEDGER_GIVEN_UP = (504, logbook.WARNING)
     PEER_NOT_TOLD = (505, logbook.INFO)
     TARGET_CRASHED = (506, logbook.WARNING)
+    LINK_TRAFFIC = (507, logbook.INFO)
     REQUEST_FAILED = (600, logbook.ERROR)
     REQUEST_ENDED = (601, logbook.INFO)
 
--- a/src/dogwoodmast/link.py
+++ b/src/dogwoodmast/link.py
@@ -31,6 +31,7 @@
     unpack_frame,
     unpack_length,
 )
+from dogwoodmast.link_traffic import LinkTraffic
 
 if TYPE_CHECKING:
     from anyio.abc import ByteStream, TaskGroup
@@ -80,6 +81,7 @@
         peer: str,
         on_message: MessageHandler,
         handler_tasks: TaskGroup,
+        traffic: LinkTraffic | None = None,
     ) -> None:
         """Create a link; :meth:`run` has to be started before it is used.
 
@@ -87,12 +89,14 @@
         :param peer: Address of the peer, for log lines and errors.
         :param on_message: Handler of the messages that are not replies.
         :param handler_tasks: Task group that the handlers run in.
+        :param traffic: Counters that the link shares with others.
         """
         self._stream = stream
         self._reader = BufferedByteReceiveStream(stream)
         self._peer = peer
         self._on_message = on_message
         self._handler_tasks = handler_tasks
+        self._traffic = traffic or LinkTraffic()
         self._calls: dict[int, _PendingCall] = {}
         self._handler_scopes: dict[int, anyio.CancelScope] = {}
         self._call_numbers = itertools.count(1)
@@ -135,9 +139,11 @@
         if self._closed:
             raise LinkUnavailable(self._peer)
         try:
-            self._send_queue.send_nowait(pack_frame(message, correlation))
+            frame = pack_frame(message, correlation)
+            self._send_queue.send_nowait(frame)
         except anyio.WouldBlock:
             raise LinkUnavailable(self._peer) from None
+        self._traffic.on_queued(type(message).__name__, len(frame))
 
     async def call(self, message: object) -> object:
         """Send a message and wait for the peer's reply.
@@ -185,11 +191,17 @@
         """Close the connection; waiting calls raise LinkLost."""
         self._closed = True
         self._send_queue.close()
+        self._drop_queued()
         for call in self._calls.values():
             call.done.set()
         with anyio.CancelScope(shield=True):
             await anyio.aclose_forcefully(self._stream)
 
+    def _drop_queued(self) -> None:
+        while self._queued_frames.statistics().current_buffer_used:
+            dropped = self._queued_frames.receive_nowait()
+            self._traffic.on_dequeued(len(dropped))
+
     def _send_cancel(self, number: int) -> None:
         with suppress(LinkUnavailable):
             self.send(CancelRequest(number))
@@ -201,7 +213,11 @@
             rest = [
                 self._queued_frames.receive_nowait() for _ in range(waiting)
             ]
-            await self._stream.send(b''.join((first, *rest)))
+            content = b''.join((first, *rest))
+            try:
+                await self._stream.send(content)
+            finally:
+                self._traffic.on_dequeued(len(content))
 
     async def _watch_liveness(self) -> None:
         while True:
@@ -222,6 +238,7 @@
         while not self._closed:
             frame = await self._read_frame()
             self._last_received_at = anyio.current_time()
+            self._traffic.on_received(frame.kind, len(frame.payload))
             message = decode(frame.kind, frame.payload)
             self._route(frame.correlation, message)
 
--- a/src/dogwoodmast/link_pool.py
+++ b/src/dogwoodmast/link_pool.py
@@ -12,6 +12,7 @@
 
 from dogwoodmast.errors import LinkUnavailable
 from dogwoodmast.link import Link, MessageHandler
+from dogwoodmast.link_traffic import LinkTraffic
 
 if TYPE_CHECKING:
     from anyio.abc import ByteStream, TaskGroup, TaskStatus
@@ -29,14 +30,21 @@
 class LinkPool:
     """One link per peer, opened when first needed and reopened when lost."""
 
-    def __init__(self, hello: Hello, on_message: MessageHandler) -> None:
+    def __init__(
+        self,
+        hello: Hello,
+        on_message: MessageHandler,
+        traffic: LinkTraffic | None = None,
+    ) -> None:
         """Create a pool without links.
 
         :param hello: Hello message, sent first on every link that is opened.
         :param on_message: Handler of the messages that are not replies.
+        :param traffic: Counters that the links share with others.
         """
         self._hello = hello
         self._on_message = on_message
+        self._traffic = traffic or LinkTraffic()
         self._links: dict[Address, Link] = {}
         self._locks: dict[Address, anyio.Lock] = {}
         self._unavailable_until: dict[Address, float] = {}
@@ -103,7 +111,9 @@
             retry_at = anyio.current_time() + RECONNECT_DELAY
             self._unavailable_until[address] = retry_at
             raise LinkUnavailable(str(address)) from None
-        link = Link(stream, str(address), self._on_message, self._tasks)
+        link = Link(
+            stream, str(address), self._on_message, self._tasks, self._traffic
+        )
         link.send(self._hello)
         self._tasks.start_soon(link.run)
         return link
@@ -112,6 +122,7 @@
 async def serve_links(
     address: Address,
     on_message: MessageHandler,
+    traffic: LinkTraffic | None = None,
     *,
     task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -119,6 +130,7 @@
 
     :param address: Address to listen on.
     :param on_message: Handler of the messages that are not replies.
+    :param traffic: Counters that the links share with others.
     :param task_status: Signalled once the socket is listening.
     """
     listener = await anyio.create_tcp_listener(
@@ -129,7 +141,7 @@
 
         async def accept(stream: ByteStream) -> None:
             peer = str(stream.extra(SocketAttribute.remote_address))
-            await Link(stream, peer, on_message, handler_tasks).run()
+            await Link(stream, peer, on_message, handler_tasks, traffic).run()
 
         task_status.started()
         await listener.serve(accept)
