Keep every copy of the store within its bound, whatever sources fail

Callers saw 404 for added routes, and requests at targets that had left, for seconds after the store had acknowledged the change.

Cause: nothing bounded how long a VM went without the store. A dead source cost 0.5 s and was tried again after 2 s, so four of them kept a VM from the store for as long as they lasted. A healthy copy was up to 2.4 s old at the end of a long poll but counted as stale from 1.2 s on, so sources were dropped for no reason. After a failed read a VM paused up to 2 s without asking anyone, and two VMs could pull from each other.

Now a copy of 0.7 of the bound is confirmed from the store, and no pull or pause reaches beyond; the intervals follow from the bound in the settings. VMs that pull are no sources, and suspect periods grow.

Evidence: test_sync_budget.py, the real modules on a simulated clock.

--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -15,7 +15,10 @@
 from dogwoodmast.crash_notifier import CrashNotifier
 from dogwoodmast.direct.coordinator import Coordinator, CoordinatorDependencies
 from dogwoodmast.direct.directory import Directory
-from dogwoodmast.direct.directory_sync import DirectorySync, SourceSelector
+from dogwoodmast.direct.directory_sync import (
+    DirectorySync,
+    SyncDependencies,
+)
 from dogwoodmast.direct.dispatcher import Dispatcher
 from dogwoodmast.direct.gateway import DirectGateway
 from dogwoodmast.direct.leadership import Leadership
@@ -25,6 +28,8 @@
 from dogwoodmast.direct.readiness import Readiness
 from dogwoodmast.direct.settings import DirectSettings, load_direct_settings
 from dogwoodmast.direct.shard_view import LoadReporter, ShardView
+from dogwoodmast.direct.source_selector import SourceSelector
+from dogwoodmast.direct.sync_timing import SyncTiming
 from dogwoodmast.direct.target_set import TargetSet
 from dogwoodmast.direct.vm_registration import VmRegistration
 from dogwoodmast.events import Event, log_event
@@ -32,7 +37,6 @@
 from dogwoodmast.http_server import make_http_server
 from dogwoodmast.input_errors import InvalidInput
 from dogwoodmast.link_pool import LinkPool, serve_links
-from dogwoodmast.link_traffic import LinkTraffic
 from dogwoodmast.message_handlers import MessageHandlers
 from dogwoodmast.platform.documents import decode_catalog_item
 from dogwoodmast.platform.store import MetadataStore
@@ -85,7 +89,7 @@
             str(settings.listen.links),
             secrets.token_hex(INCARNATION_BYTES),
         )
-        self._traffic = LinkTraffic()
+        self._monitor = ProcessMonitor()
         self._links = LinkPool(
             Hello(
                 self._record.name,
@@ -94,13 +98,14 @@
                 PROTOCOL_VERSION,
             ),
             self._handlers,
-            self._traffic,
+            self._monitor.traffic,
         )
         self._directory = Directory(decode_catalog_item)
         self._targets = TargetSet(settings.vm.zone, self._clock)
         self._view = ShardView()
         self._metrics = Metrics()
         self._readiness = Readiness(self._directory, self._targets)
+        self._timing = SyncTiming(self._bounds.copy_bound)
         self._dispatcher = Dispatcher(
             self._targets, self._view, self._clock, self._bounds
         )
@@ -158,17 +163,16 @@
         vm = self._settings.vm
         sync = DirectorySync(
             SourceSelector(vm.name, vm.zone),
-            self._directory,
-            self._store,
-            self._links,
-            self._clock,
+            SyncDependencies(
+                self._directory, self._store, self._links, self._clock
+            ),
+            self._timing,
         )
         reporter = LoadReporter(
             vm.name, self._view, self._targets, self._directory, self._links
         )
         sync.subscribe(self._on_changes)
-        monitor = ProcessMonitor(self._traffic)
-        monitor.add_gauges(self._metrics)
+        self._monitor.add_gauges(self._metrics)
         self._add_sync_gauges(sync)
         notifier = CrashNotifier(
             self._clock,
@@ -179,7 +183,7 @@
         for part in (sync, reporter, coordinator, notifier):
             part.register(self._handlers)
         await tasks.start(
-            serve_links, listen.links, self._handlers, self._traffic
+            serve_links, listen.links, self._handlers, self._monitor.traffic
         )
         self._start_servers(tasks)
         for task in (
@@ -188,7 +192,7 @@
             reporter,
             coordinator,
             notifier,
-            monitor,
+            self._monitor,
         ):
             tasks.start_soon(task.run)
         tasks.start_soon(self._refresh, tasks)
@@ -292,6 +296,7 @@
         try:
             settings = load_direct_settings(self._path)
             self._dispatcher.bounds = settings.bounds
+            self._timing.bound = settings.bounds.copy_bound
         except InvalidInput as error:
             log_event(Event.SETTINGS_REJECTED, reason=str(error))
             return
--- a/src/dogwoodmast/direct/directory.py
+++ b/src/dogwoodmast/direct/directory.py
@@ -221,11 +221,14 @@
         self._confirm(page.revision, requested_at)
         return changed
 
-    def page_since(self, after: int, now: float) -> DirectoryPage:
+    def page_since(
+        self, after: int, now: float, *, is_relayed: bool = False
+    ) -> DirectoryPage:
         """Collect the changes that another entry VM lacks.
 
         :param after: Store revision of the other VM's copy.
         :param now: Monotonic time in seconds.
+        :param is_relayed: Whether this VM does not read the store itself.
         :return: Keys that changed after that revision.
         """
         items = tuple(
@@ -239,9 +242,8 @@
             for entry in self._entries.values()
             if entry.revision > after
         )
-        return DirectoryPage(
-            self._revision, min(self.age(now), MAX_REPORTED_AGE), items
-        )
+        age = min(self.age(now), MAX_REPORTED_AGE)
+        return DirectoryPage(self._revision, age, items, is_relayed)
 
     def on_page(
         self, page: DirectoryPage, requested_at: float, now: float
--- a/src/dogwoodmast/direct/messages.py
+++ b/src/dogwoodmast/direct/messages.py
@@ -63,6 +63,8 @@
     """Time since the store confirmed that revision, in seconds."""
     items: tuple[DirectoryItem, ...]
     """Keys that changed or were removed."""
+    is_relayed: bool = False
+    """Whether the sender pulls from another VM itself."""
 
 
 @wire_message(_IDL)
--- a/src/dogwoodmast/direct/process_monitor.py
+++ b/src/dogwoodmast/direct/process_monitor.py
@@ -29,7 +29,8 @@
 class ProcessMonitor:
     """Task that logs delays of the event loop and heavy traffic of links."""
 
-    _traffic: LinkTraffic
+    traffic: LinkTraffic = attrs.field(factory=LinkTraffic)
+    """Counters of the process's links."""
     _sent: Counter[str] = attrs.field(factory=Counter)
     _received: Counter[str] = attrs.field(factory=Counter)
     _loop_delay: float = 0
@@ -47,17 +48,17 @@
         metrics.add_gauge(
             'link_sent_bytes',
             'Bytes sent to other entry VMs so far.',
-            lambda: self._traffic.sent.total(),
+            lambda: self.traffic.sent.total(),
         )
         metrics.add_gauge(
             'link_received_bytes',
             'Bytes received from other entry VMs so far.',
-            lambda: self._traffic.received.total(),
+            lambda: self.traffic.received.total(),
         )
         metrics.add_gauge(
             'link_backlog_bytes',
             'Bytes queued for other entry VMs and not sent yet.',
-            lambda: self._traffic.backlog,
+            lambda: self.traffic.backlog,
         )
 
     async def run(self) -> None:
@@ -78,18 +79,18 @@
             log_event(
                 Event.EVENT_LOOP_LATE,
                 seconds=round(delay, 3),
-                backlog=self._traffic.backlog,
+                backlog=self.traffic.backlog,
             )
 
     def _log_traffic(self) -> None:
-        sent = self._traffic.sent - self._sent
-        received = self._traffic.received - self._received
-        self._sent = Counter(self._traffic.sent)
-        self._received = Counter(self._traffic.received)
+        sent = self.traffic.sent - self._sent
+        received = self.traffic.received - self._received
+        self._sent = Counter(self.traffic.sent)
+        self._received = Counter(self.traffic.received)
         if sent.total() + received.total() >= LOGGED_TRAFFIC_BYTES:
             log_event(
                 Event.LINK_TRAFFIC,
                 sent=dict(sent),
                 received=dict(received),
-                backlog=self._traffic.backlog,
+                backlog=self.traffic.backlog,
             )
--- a/src/dogwoodmast/direct/settings.py
+++ b/src/dogwoodmast/direct/settings.py
@@ -34,6 +34,8 @@
     drain_time: float = 2.0
     """Time within which the last request is sent to a target that is leaving,
     in seconds."""
+    apply_time: float = 2.0
+    """Time within which a configuration has to be in force, in seconds."""
     stop_time: float = 6.0
     """Time from ``SIGTERM`` until the process is killed, in seconds."""
     retry_ratio: float = 0.2
@@ -46,6 +48,12 @@
     longest_hold: float = 10.0
     """Longest time for which keys may be granted to a target, in seconds."""
 
+    @property
+    def copy_bound(self) -> float:
+        """Time within which a change in the store has to be known, in
+        seconds."""
+        return min(self.apply_time, self.drain_time)
+
 
 @attrs.frozen
 class DirectListenSettings:
--- a/src/dogwoodmast/idl/direct.thrift
+++ b/src/dogwoodmast/idl/direct.thrift
@@ -25,6 +25,7 @@
   1: i64 revision,
   2: double age,
   3: list<DirectoryItem> items,
+  4: bool is_relayed = 0,
 }
 
 struct ShardAssignment {
--- a/src/dogwoodmast/key_value.py
+++ b/src/dogwoodmast/key_value.py
@@ -177,13 +177,14 @@
     """Client of a key-value service that is polled for changes."""
 
     async def read_changes(
-        self, prefix: str, after: int, wait: float
+        self, prefix: str, after: int, wait: float, timeout: float
     ) -> ChangePage:
         """Read changes by a long poll.
 
         :param prefix: Prefix of the keys.
         :param after: Store revision after which changes are reported.
         :param wait: Maximum time to wait for a change, in seconds.
+        :param timeout: Time limit for the answer beyond that, in seconds.
         :return: Page of changes; empty if there was none within the time.
         :raises HistoryLost: If the store has discarded changes since that
             revision.
--- a/src/dogwoodmast/platform/store.py
+++ b/src/dogwoodmast/platform/store.py
@@ -97,13 +97,14 @@
         return Snapshot(revision, tuple(values))
 
     async def read_changes(
-        self, prefix: str, after: int, wait: float
+        self, prefix: str, after: int, wait: float, timeout: float
     ) -> ChangePage:
         """Read the changes after a revision, and wait for one if needed.
 
         :param prefix: Prefix of the keys; empty for all keys.
         :param after: Revision after which changes are read.
         :param wait: Maximum time to wait for a change, in seconds.
+        :param timeout: Time limit for the answer beyond that, in seconds.
         :return: Changes, none if the time passed without one.
         :raises HistoryLost: If the store does not have the changes since that
             revision any more.
@@ -120,7 +121,7 @@
             f'/api/kv-watch?{query}',
             None,
             _OK_OR_GONE,
-            wait + CALL_TIMEOUT,
+            wait + timeout,
         )
         if status == HTTPStatus.GONE:
             raise HistoryLost(after)
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -17,15 +17,15 @@
 )
 from dogwoodmast.direct.catalog import Target, WeightedService, pick_service
 from dogwoodmast.direct.directory import Directory
-from dogwoodmast.direct.directory_sync import (
-    SUSPECT_PERIOD,
+from dogwoodmast.direct.messages import ShardAssignment, ShardUpdate, VmRecord
+from dogwoodmast.direct.retry_budget import BUDGET_SHARE, RetryBudget
+from dogwoodmast.direct.shard_table import ShardTable
+from dogwoodmast.direct.source_selector import (
+    SHORTEST_SUSPECT_PERIOD,
     SourceSelector,
     StoreSource,
     VmSource,
 )
-from dogwoodmast.direct.messages import ShardAssignment, ShardUpdate, VmRecord
-from dogwoodmast.direct.retry_budget import BUDGET_SHARE, RetryBudget
-from dogwoodmast.direct.shard_table import ShardTable
 from dogwoodmast.direct.target_choice import RoutingContext, choose_target
 from dogwoodmast.direct.target_limiter import TargetLimiter
 from dogwoodmast.key_value import Change, ChangePage, Snapshot, StoredValue
@@ -306,8 +306,8 @@
     """One VM of each zone reads the store, and the others pull from it.
 
     Guards against a load on the store that grows with the number of VMs.  A
-    source that failed is skipped for ``SUSPECT_PERIOD``; without any other, the
-    VM reads the store itself.
+    source that failed is skipped for ``SHORTEST_SUSPECT_PERIOD``; without any
+    other, the VM reads the store itself.
     """
     vms = [make_record(name) for name in ('v1', 'v2', 'v3')]
     vms.append(make_record('w1', 'b'))
@@ -323,7 +323,7 @@
     assert second.name == 'v2'
     selector.on_failure(second, 0.1)
     assert selector.choose(vms, 0.2) == StoreSource()
-    assert selector.choose(vms, SUSPECT_PERIOD + 0.05) == first
+    assert selector.choose(vms, SHORTEST_SUSPECT_PERIOD + 0.05) == first
 
 
 def test_vm_refused_by_the_store_pulls_from_any_other() -> None:
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -17,8 +17,8 @@
     make_configuration,
     make_route,
 )
-from dogwoodmast.direct.directory_sync import SUSPECT_PERIOD
 from dogwoodmast.direct.leadership import LEASE_TTL
+from dogwoodmast.direct.source_selector import LONGEST_STORE_SUSPECT_PERIOD
 from dogwoodmast.quarantine import MAX_CRASHES
 from metadata_store import StoreFault
 from platform_target import PlatformTarget, TargetFault
@@ -31,6 +31,8 @@
 RELIST_WINDOW = 2.0
 """Time after an outage of the store within which expired entries are written
 again, in seconds; the platform guarantees it."""
+OUTAGE_TIME = 2.0
+"""Duration of an outage of the store, in seconds."""
 SHORT_TIMEOUT = 3.0
 """Time limit for events that must follow soon, in seconds."""
 
@@ -398,7 +400,7 @@
     async with direct_fleet(*targets) as fleet:
         await fleet.wait_until_ready()
         fleet.store.fault = StoreFault.BUSY
-        await anyio.sleep(SUSPECT_PERIOD)
+        await anyio.sleep(OUTAGE_TIME)
         for target in targets:
             fleet.unlist_target(target.name)
         fleet.store.fault = StoreFault.NONE
@@ -450,7 +452,7 @@
         await anyio.sleep(LEASE_TTL + 1)
         fleet.store.fault = StoreFault.NONE
         target.highest_fences.clear()
-        with anyio.fail_after(SUSPECT_PERIOD + SHORT_TIMEOUT):
+        with anyio.fail_after(LONGEST_STORE_SUSPECT_PERIOD + SHORT_TIMEOUT):
             while not target.highest_fences:
                 await anyio.sleep(0.05)
 
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -56,7 +56,7 @@
         return await self.read('')
 
     async def read_changes(
-        self, _prefix: str, after: int, _wait: float
+        self, _prefix: str, after: int, _wait: float, _timeout: float
     ) -> ChangePage:
         """Report that nothing has changed.
 
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -142,4 +142,4 @@
         '\n'.join(plain + bounds), 'x', read_direct_settings
     )
     assert tomllib.loads('\n'.join(plain))['vm']['name'] == 'front-1'
-    assert settings.bounds == Bounds(7, 7, 7, 7, 7, 7)
+    assert settings.bounds == Bounds(7, 7, 7, 7, 7, 7, 7)
--- /dev/null
+++ b/tests/test_sync_budget.py
@@ -0,0 +1,82 @@
+"""Time within which every entry VM knows of a change in the store."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from simulated_time import run_simulated
+from sync_simulation import SimulatedFleet, VmFault
+
+BOUNDS = (2.0, 2.5)
+"""Bounds of the platform contracts, in seconds."""
+FAULTS: tuple[VmFault, ...] = tuple(
+    fault for fault in VmFault if fault is not VmFault.NONE
+)
+
+
+def play(
+    bound: float,
+    shape: tuple[int, int],
+    faults: list[tuple[float, int, VmFault, float]],
+    seconds: float = 14,
+) -> SimulatedFleet:
+    """Play faults on a fleet.
+
+    :param bound: Bound in seconds.
+    :param shape: Number of zones, and of entry VMs in each.
+    :param faults: Start, VM, kind and duration of each fault.
+    :param seconds: Duration in simulated seconds.
+    :return: Fleet after the run.
+    """
+
+    async def scenario() -> SimulatedFleet:
+        fleet = SimulatedFleet(bound)
+        fleet.add_vms(*shape)
+        await fleet.play(faults, seconds)
+        return fleet
+
+    return run_simulated(scenario)
+
+
+@pytest.mark.parametrize('bound', BOUNDS)
+@pytest.mark.parametrize('fault', FAULTS)
+@pytest.mark.parametrize('share', [0.1, 0.5, 0.9])
+def test_sources_that_fail_together_do_not_delay_a_change(
+    bound: float, fault: VmFault, share: float
+) -> None:
+    """The first VMs of each zone by name have the same fault at once."""
+    count = 72
+    faults = [(4.0, vm, fault, 6.0) for vm in range(int(count * share))]
+    assert play(bound, (3, count // 3), faults).late == []
+
+
+@pytest.mark.parametrize('seed', range(12))
+@pytest.mark.parametrize('per_zone', [1, 3, 8, 24])
+def test_faults_at_any_time_do_not_delay_a_change(
+    per_zone: int, seed: int
+) -> None:
+    """Faults of all kinds overlap, some of them on the same VM."""
+    draw = random.Random(seed)
+    zones = draw.choice((1, 3, 5))
+    count = zones * per_zone
+    faults = [
+        (
+            draw.uniform(3, 9),
+            draw.randrange(count),
+            draw.choice(FAULTS),
+            draw.uniform(0.2, 4),
+        )
+        for _ in range(draw.randint(1, count))
+    ]
+    assert play(draw.choice(BOUNDS), (zones, per_zone), faults).late == []
+
+
+def test_reads_of_the_store_grow_with_zones_and_not_with_vms() -> None:
+    """Without faults only one VM of each zone keeps reading."""
+    few, many = (
+        sum(at > 4 for at in play(2.0, (3, size), []).store.reads)
+        for size in (2, 24)
+    )
+    assert many == few
