Pass removals on that the source of a copy has never seen

What callers would see: requests sent to a target that had left long before, at VMs of one zone.

Cause: a VM that lists the store anew, after its start or a compaction, knows nothing of a key that came and went before. It told the VMs that pull from it only of removals that it had seen, so one of these kept such a key as present until its own next listing.

A copy now remembers the revisions between which it may have missed keys. A VM whose copy is from between gets all keys, and drops those that are missing.

Evidence: test_removal_is_pulled_from_a_vm_that_never_knew_the_key and test_removal_is_pulled_through_a_vm_that_pulled_itself; the first failed in both cases on the code before.

--- a/src/dogwoodmast/direct/directory.py
+++ b/src/dogwoodmast/direct/directory.py
@@ -40,6 +40,9 @@
 again if their entries expired during the outage, in seconds; the platform
 guarantees it."""
 
+MAX_GAPS = 8
+"""Number of gaps in its knowledge of removals that a copy tells apart."""
+
 _ROUTER_RECORD_TYPES = (
     (VM_PREFIX, 'VmRecord'),
     (COORDINATOR_KEY, 'VmRecord'),
@@ -47,6 +50,16 @@
 )
 
 
+@attrs.frozen
+class _Gap:
+    """Revisions between which keys may have come and gone unseen."""
+
+    after: int
+    """Revision of the copy before a snapshot."""
+    until: int
+    """Revision of the snapshot."""
+
+
 @attrs.frozen
 class Entry:
     """One key of the copy; removed keys are kept."""
@@ -93,6 +106,7 @@
         self._confirmed_at = float('-inf')
         self._relist_until = float('-inf')
         self._route_table: RouteTable | None = None
+        self._gaps: list[_Gap] = []
 
     @property
     def revision(self) -> int:
@@ -201,6 +215,7 @@
             if key not in present and not entry.removed:
                 self._remove(key, snapshot.revision, requested_at)
                 changed.append(key)
+        self._add_gap(_Gap(self._revision, snapshot.revision))
         self._confirm(snapshot.revision, requested_at)
         return changed
 
@@ -231,6 +246,8 @@
         :param is_relayed: Whether this VM does not read the store itself.
         :return: Keys that changed after that revision.
         """
+        is_complete = any(gap.after < after < gap.until for gap in self._gaps)
+        has_gap = any(after < gap.until for gap in self._gaps)
         items = tuple(
             DirectoryItem(
                 entry.key,
@@ -240,10 +257,12 @@
                 max(0, entry.retained_until - now),
             )
             for entry in self._entries.values()
-            if entry.revision > after
+            if is_complete or entry.revision > after
         )
         age = min(self.age(now), MAX_REPORTED_AGE)
-        return DirectoryPage(self._revision, age, items, is_relayed)
+        return DirectoryPage(
+            self._revision, age, items, is_relayed, is_complete, has_gap
+        )
 
     def on_page(
         self, page: DirectoryPage, requested_at: float, now: float
@@ -261,9 +280,27 @@
         changed = [
             item.key for item in page.items if self._apply_item(item, now)
         ]
+        if page.is_complete:
+            changed.extend(self._remove_missing(page, now))
+        if page.has_gap:
+            self._add_gap(_Gap(self._revision, page.revision))
         self._confirm(page.revision, requested_at - page.age)
         return changed
 
+    def _remove_missing(self, page: DirectoryPage, now: float) -> list[str]:
+        listed = {item.key for item in page.items}
+        return [
+            key
+            for key in tuple(self._entries)
+            if key not in listed and self._remove(key, page.revision, now)
+        ]
+
+    def _add_gap(self, gap: _Gap) -> None:
+        self._gaps.append(gap)
+        if len(self._gaps) > MAX_GAPS:
+            first, second, *others = self._gaps
+            self._gaps = [_Gap(first.after, second.until), *others]
+
     def _apply_item(self, item: DirectoryItem, now: float) -> bool:
         if not item.removed:
             return self._put(item.key, item.revision, item.content)
--- a/src/dogwoodmast/direct/messages.py
+++ b/src/dogwoodmast/direct/messages.py
@@ -65,6 +65,11 @@
     """Keys that changed or were removed."""
     is_relayed: bool = False
     """Whether the sender pulls from another VM itself."""
+    is_complete: bool = False
+    """Whether keys that are not among the items have been removed."""
+    has_gap: bool = False
+    """Whether the sender may have missed keys that came and went since the
+    revision of the requesting VM's copy."""
 
 
 @wire_message(_IDL)
--- a/src/dogwoodmast/idl/direct.thrift
+++ b/src/dogwoodmast/idl/direct.thrift
@@ -26,6 +26,8 @@
   2: double age,
   3: list<DirectoryItem> items,
   4: bool is_relayed = 0,
+  5: bool is_complete = 0,
+  6: bool has_gap = 0,
 }
 
 struct ShardAssignment {
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -404,6 +404,37 @@
     assert other.targets(62.1) == {}
 
 
+@pytest.mark.parametrize('known_before', [0, 5])
+def test_removal_is_pulled_from_a_vm_that_never_knew_the_key(
+    known_before: int,
+) -> None:
+    """A restart or a compaction hides a short-lived key from the source."""
+    source = make_directory()
+    if known_before:
+        source.on_snapshot(Snapshot(known_before, ()), 1.0)
+    source.on_snapshot(Snapshot(9, ()), 2.0)
+    other = make_directory()
+    other.on_snapshot(Snapshot(7, (StoredValue('t/x', b'1', 7),)), 1.5)
+    changed = other.on_page(source.page_since(7, 3.0), 3.0, 3.0)
+    assert changed == ['t/x']
+    assert other.targets(3.0) == {}
+    assert other.revision == 9
+
+
+def test_removal_is_pulled_through_a_vm_that_pulled_itself() -> None:
+    """A VM passes on that its own source may have missed a key."""
+    source = make_directory()
+    source.on_snapshot(Snapshot(5, ()), 1.0)
+    source.on_snapshot(Snapshot(9, ()), 2.0)
+    relay = make_directory()
+    relay.on_snapshot(Snapshot(5, ()), 1.0)
+    relay.on_page(source.page_since(5, 3.0), 3.0, 3.0)
+    other = make_directory()
+    other.on_snapshot(Snapshot(7, (StoredValue('t/x', b'1', 7),)), 1.5)
+    other.on_page(relay.page_since(7, 4.0), 4.0, 4.0)
+    assert other.targets(4.0) == {}
+
+
 def test_heartbeats_are_not_forwarded() -> None:
     """Changes that leave the decoded value equal are not forwarded.
 
