Replace a silent link although every call on it is short

What callers would see: a VM whose link to its source went silent without a reset kept pulling on it; its copy grew old, and so its configuration.

Cause: a link was given up after 0.6 s without data only while a call waited, but pulls end after 0.5 s, and reports and pushes after 0.6 s. The silence now counts from the first call without any response, whether it still waits or not.

Evidence: test_silent_link_is_replaced_although_each_call_is_short failed on the code before.

--- a/src/dogwoodmast/link.py
+++ b/src/dogwoodmast/link.py
@@ -38,10 +38,10 @@
 
 LIVENESS_CHECK_INTERVAL = 0.2
 """Time between two checks of a link's liveness, in seconds.  Also the time
-without data from the peer after which a ping is sent while calls wait."""
+without data from the peer after a call after which a ping is sent."""
 LIVENESS_TIMEOUT = 0.6
-"""Time without data from the peer, while a call waits, after which the link
-is closed, in seconds."""
+"""Time without data from the peer, after a call was made, after which the
+link is closed, in seconds."""
 MAX_QUEUED_FRAMES = 8192
 """Capacity of a link's send queue, in frames."""
 
@@ -61,7 +61,6 @@
 
 @attrs.define(eq=False)
 class _PendingCall:
-    started_at: float
     done: anyio.Event = attrs.field(factory=anyio.Event)
     reply: object | None = None
 
@@ -71,8 +70,8 @@
 
     Handlers of the peer's messages run in a task group outside of the link,
     so that they are not cancelled when the link is lost; the peer may
-    repeat its call on another link.  Pings are sent only while calls wait,
-    so an idle link causes no traffic.
+    repeat its call on another link.  Pings are sent only after calls without
+    any response, so an idle link causes no traffic.
     """
 
     def __init__(
@@ -101,7 +100,9 @@
         self._handler_scopes: dict[int, anyio.CancelScope] = {}
         self._call_numbers = itertools.count(1)
         self._closed = False
-        self._last_received_at = anyio.current_time()
+        # Also set after the caller has given up: a link must not stay in use
+        # because every call on it is shorter than the liveness timeout.
+        self._silent_since: float | None = None
         sender, receiver = anyio.create_memory_object_stream[bytes](
             MAX_QUEUED_FRAMES
         )
@@ -156,8 +157,10 @@
         :raises LinkLost: If the link was closed before the reply arrived.
         """
         number = next(self._call_numbers)
-        call = _PendingCall(anyio.current_time())
+        call = _PendingCall()
         self.send(message, number)
+        if self._silent_since is None:
+            self._silent_since = anyio.current_time()
         self._calls[number] = call
         try:
             await call.done.wait()
@@ -222,13 +225,10 @@
     async def _watch_liveness(self) -> None:
         while True:
             await anyio.sleep(LIVENESS_CHECK_INTERVAL)
-            if self._calls:
-                self._check_liveness(anyio.current_time())
+            if self._silent_since is not None:
+                self._check_liveness(anyio.current_time() - self._silent_since)
 
-    def _check_liveness(self, now: float) -> None:
-        # The link may have been idle before the oldest call that waits.
-        oldest = min(call.started_at for call in self._calls.values())
-        silence = now - max(self._last_received_at, oldest)
+    def _check_liveness(self, silence: float) -> None:
         if silence > LIVENESS_TIMEOUT:
             raise LinkLost(self._peer)
         if silence > LIVENESS_CHECK_INTERVAL:
@@ -237,7 +237,8 @@
     async def _read(self) -> None:
         while not self._closed:
             frame = await self._read_frame()
-            self._last_received_at = anyio.current_time()
+            now = anyio.current_time()
+            self._silent_since = now if self._calls else None
             self._traffic.on_received(frame.kind, len(frame.payload))
             message = decode(frame.kind, frame.payload)
             self._route(frame.correlation, message)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import TYPE_CHECKING
 
 import anyio
@@ -12,6 +12,7 @@
 from dogwoodmast.errors import LinkLost, LinkUnavailable, MalformedFrame
 from dogwoodmast.forwarding import ForwardAnswer, ForwardRequest
 from dogwoodmast.frames import PROTOCOL_VERSION, Hello, pack_frame
+from dogwoodmast.link import LIVENESS_TIMEOUT
 from dogwoodmast.link_pool import LinkPool, serve_links
 from fleet import free_addresses
 
@@ -186,6 +187,41 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_silent_link_is_replaced_although_each_call_is_short() -> None:
+    """Every call gives up before the link's own time limit."""
+    accepted = []
+
+    async def accept(stream: anyio.abc.SocketStream) -> None:
+        accepted.append(stream)
+        await anyio.sleep_forever()
+
+    address = free_addresses(1)[0]
+    listener = await anyio.create_tcp_listener(
+        local_host=address.host, local_port=address.port
+    )
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, accept)
+        async with LinkPool(HELLO, answer_after_delay) as pool:
+            for _ in range(6):
+                with anyio.move_on_after(0.3), suppress(LinkLost):
+                    await pool.call(address, make_forward('silent'))
+            assert len(accepted) > 1
+        tasks.cancel_scope.cancel()
+
+
+async def test_idle_link_stays_open_after_a_call_that_was_given_up() -> None:
+    """A peer that answers pings keeps its link."""
+    async with (
+        serving() as address,
+        LinkPool(HELLO, answer_after_delay) as pool,
+    ):
+        link = await pool.link_to(address)
+        with anyio.move_on_after(0.05):
+            await pool.call(address, make_forward('slow', 10))
+        await anyio.sleep(2 * LIVENESS_TIMEOUT)
+        assert not link.closed
+
+
 async def test_call_to_unreachable_peer_is_reported_as_unsent() -> None:
     """A call to a peer that does not listen fails as not sent.
 
