Close the idle connections to the store after a call has timed out

Cause: the pool took another idle connection for the next call, which was as silent, and each one cost a time limit of up to 2.5 s; the bound is 2 s.

Evidence: test_one_call_is_lost_although_all_idle_connections_are_silent failed on the code before.

--- a/src/dogwoodmast/direct/json_client.py
+++ b/src/dogwoodmast/direct/json_client.py
@@ -75,7 +75,12 @@
                 return await self._exchange(method, path, document)
         except ConnectFailed:
             raise PlatformUnavailable(endpoint) from None
-        except (ExchangeAborted, TimeoutError):
+        except ExchangeAborted:
+            raise PlatformAnswerLost(endpoint) from None
+        except TimeoutError:
+            # Whatever silenced this connection may have silenced the idle
+            # ones too, and each would cost a time limit.
+            await self._pool.aclose()
             raise PlatformAnswerLost(endpoint) from None
 
     async def aclose(self) -> None:
--- /dev/null
+++ b/tests/test_json_client.py
@@ -0,0 +1,55 @@
+"""Client for calls to the store: connections that go silent."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+
+import anyio
+import pytest
+
+from direct_fleet import free_address
+from dogwoodmast.clock import SystemClock
+from dogwoodmast.direct.json_client import JsonClient
+from dogwoodmast.errors import PlatformAnswerLost
+
+pytestmark = pytest.mark.anyio
+
+RESPONSE = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}'
+OPEN_CALLS = 3
+"""Number of calls made at once, and so of idle connections afterwards."""
+
+
+async def test_one_call_is_lost_although_all_idle_connections_are_silent() -> (
+    None
+):
+    """Something on the path has lost track of all open connections."""
+    silent_streams: set[anyio.abc.SocketStream] = set()
+    streams: set[anyio.abc.SocketStream] = set()
+
+    async def accept(stream: anyio.abc.SocketStream) -> None:
+        streams.add(stream)
+        with suppress(anyio.BrokenResourceError):
+            async for request in stream:
+                assert request.startswith(b'GET /')
+                await anyio.sleep(0.05)
+                if stream not in silent_streams:
+                    await stream.send(RESPONSE)
+
+    address = free_address()
+    client = JsonClient(address, SystemClock())
+    listener = await anyio.create_tcp_listener(
+        local_host=address.host, local_port=address.port
+    )
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, accept)
+        async with anyio.create_task_group() as callers:
+            for _ in range(OPEN_CALLS):
+                callers.start_soon(client.call, 'GET', '/')
+        assert len(streams) == OPEN_CALLS
+        silent_streams.update(streams)
+        with pytest.raises(PlatformAnswerLost):
+            await client.call('GET', '/', timeout=0.2)
+        status, _ = await client.call('GET', '/', timeout=0.2)
+        await client.aclose()
+        tasks.cancel_scope.cancel()
+    assert status == 200
