Do not deny a route by an outdated configuration

Callers got 404 for a route that had been added, which tells them not to come again.

Cause: a VM answered 404 from whatever copy it had, however old. It may deny a route only by a copy that includes each configuration that has to be in force; else it answers 503 with Retry-After, and the request has not run. Known routes are still served from an old copy, so that an outage of the store stops nobody.

Evidence: test_outdated_vm_does_not_deny_a_route got 404 on the code before.

--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -110,7 +110,11 @@
             self._targets, self._view, self._clock, self._bounds
         )
         self._gateway = DirectGateway(
-            self._directory, self._dispatcher, self._clock, self._metrics
+            self._directory,
+            self._dispatcher,
+            self._clock,
+            self._metrics,
+            self._timing,
         )
         self._server = make_http_server(
             self._gateway, settings.listen.callers, DEFAULT_KEEP_ALIVE
--- a/src/dogwoodmast/direct/gateway.py
+++ b/src/dogwoodmast/direct/gateway.py
@@ -17,6 +17,7 @@
 from dogwoodmast.direct.directory import Directory
 from dogwoodmast.direct.dispatcher import Dispatcher
 from dogwoodmast.direct.metrics import Metrics
+from dogwoodmast.direct.sync_timing import SyncTiming
 from dogwoodmast.direct.trace import RequestLog, Trace
 from dogwoodmast.platform.headers import (
     REPLACED_HEADERS,
@@ -74,6 +75,7 @@
     _dispatcher: Dispatcher
     _clock: Clock
     _metrics: Metrics
+    _timing: SyncTiming
     draining: bool = False
     """Whether the VM is stopping; responses then carry ``connection: close``,
     so that callers move to other VMs."""
@@ -117,7 +119,7 @@
         arrived_at = self._clock.monotonic()
         table = self._directory.route_table
         try:
-            selected = _select_route(table, scope)
+            selected = self._select_route(table, scope)
             body = await self._read_body(receive, selected.table.limits)
         except CallerDisconnected:
             return
@@ -130,6 +132,35 @@
         finally:
             self._buffered -= len(body)
 
+    def _select_route(
+        self, table: RouteTable | None, scope: Scope
+    ) -> _SelectedRoute:
+        if table is None:
+            problem = Problem(
+                ProblemType.STARTING, retry_after=UNAVAILABLE_RETRY_DELAY
+            )
+            raise RequestRejected(problem)
+        _check_header_size(table.limits, scope)
+        path = scope['raw_path'].decode('latin-1')
+        route = table.select(_host(scope), path)
+        if route is None:
+            raise RequestRejected(self._unknown_route())
+        return _SelectedRoute(table, route)
+
+    def _unknown_route(self) -> Problem:
+        """Return the problem of a request that matches no route.
+
+        Callers do not retry after ``UNKNOWN_SERVICE``, so it takes a copy that
+        includes every configuration that must be in force.
+        """
+        age = self._directory.age(self._clock.monotonic())
+        if age > self._timing.bound:
+            return Problem(
+                ProblemType.CONFIGURATION_OUTDATED,
+                retry_after=UNAVAILABLE_RETRY_DELAY,
+            )
+        return Problem(ProblemType.UNKNOWN_SERVICE)
+
     def _make_call(
         self,
         scope: Scope,
@@ -281,23 +312,13 @@
         await self._gateway.forward_response(self._send, self._call, response)
 
 
-def _select_route(table: RouteTable | None, scope: Scope) -> _SelectedRoute:
-    if table is None:
-        problem = Problem(
-            ProblemType.STARTING, retry_after=UNAVAILABLE_RETRY_DELAY
-        )
-        raise RequestRejected(problem)
+def _check_header_size(limits: CallerLimits, scope: Scope) -> None:
     size = sum(
         len(name) + len(field) + HEADER_OVERHEAD_BYTES
         for name, field in scope['headers']
     )
-    if size > table.limits.header_bytes:
+    if size > limits.header_bytes:
         raise RequestRejected(Problem(ProblemType.HEADER_TOO_LARGE))
-    path = scope['raw_path'].decode('latin-1')
-    route = table.select(_host(scope), path)
-    if route is None:
-        raise RequestRejected(Problem(ProblemType.UNKNOWN_SERVICE))
-    return _SelectedRoute(table, route)
 
 
 def _body_chunk(message: MutableMapping[str, Any]) -> bytes:
--- a/src/dogwoodmast/problem.py
+++ b/src/dogwoodmast/problem.py
@@ -102,6 +102,11 @@
     """An unexpected exception ended the request in the entry VM."""
     STARTING = ('starting', HTTPStatus.SERVICE_UNAVAILABLE)
     """The entry VM has no configuration yet."""
+    CONFIGURATION_OUTDATED = (
+        'configuration-outdated',
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+    """No route matches, but the entry VM's configuration may be outdated."""
     STOPPING = ('stopping', HTTPStatus.SERVICE_UNAVAILABLE)
     """The entry VM is shutting down."""
 
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -18,6 +18,7 @@
     make_route,
 )
 from dogwoodmast.direct.leadership import LEASE_TTL
+from dogwoodmast.direct.settings import Bounds
 from dogwoodmast.direct.source_selector import LONGEST_STORE_SUSPECT_PERIOD
 from dogwoodmast.quarantine import MAX_CRASHES
 from metadata_store import StoreFault
@@ -104,6 +105,22 @@
         assert (await fleet.send_request('/nothing/x')).status == 404
 
 
+async def test_outdated_vm_does_not_deny_a_route() -> None:
+    """While the store is silent, a route may have been added unseen."""
+    async with direct_fleet(PlatformTarget('p')) as fleet:
+        await fleet.wait_until_ready()
+        fleet.store.fault = StoreFault.SILENT
+        await anyio.sleep(Bounds().copy_bound)
+        response = await fleet.send_request('/nothing/x')
+        assert response.status == 503
+        assert outcome(response) == 'not_run'
+        assert retry_after(response) > 0
+        assert (await fleet.send_request('/payment/x')).status == 200
+        fleet.store.fault = StoreFault.NONE
+        await anyio.sleep(OUTAGE_TIME)
+        assert (await fleet.send_request('/nothing/x')).status == 404
+
+
 async def test_vm_without_configuration_is_not_ready() -> None:
     """Without a configuration a VM answers 503 and is not ready.
 
