Send a new term's shard table along the zones, not to every VM at once

Callers saw 404 for added routes, and requests at targets that had left, at the VM that had taken the coordinator's role and at VMs that pull from it.

Cause: every VM lacks the whole table of a new term. The new coordinator pushed it to all of them at once and again in reply to each load report until one arrived within 0.6 s.

Now a whole table travels compressed, a fifth of its size, from the coordinator to the VMs that read the store, three at a time, and from these to the others with their pulls. Changes are pushed as before, but a VM that does not answer delays no other. Stored records are compressed too and no longer passed on with the copy of the store.

Ruled out: limiting the number of pushes alone. 69 plain tables still take 1.8 s of such a link.

--- a/src/dogwoodmast/direct/coordinator.py
+++ b/src/dogwoodmast/direct/coordinator.py
@@ -12,14 +12,14 @@
 import anyio
 import attrs
 
-from dogwoodmast.address import Address
 from dogwoodmast.clock import Clock
 from dogwoodmast.direct.catalog import targets_of_service
 from dogwoodmast.direct.directory import Directory
 from dogwoodmast.direct.grant_state_machine import GrantStateMachine
 from dogwoodmast.direct.messages import LoadReport, ShardVersion, VmRecord
 from dogwoodmast.direct.shard_coordinator import ShardCoordinator
-from dogwoodmast.errors import LinkError, PlatformError
+from dogwoodmast.direct.table_distributor import TableDistributor
+from dogwoodmast.errors import PlatformError
 from dogwoodmast.events import Event, log_event
 from dogwoodmast.key_value import PolledStore
 from dogwoodmast.link_pool import LinkPool
@@ -45,8 +45,6 @@
 """Maximum age of the copy of the store for deciding whether the role is
 vacant, in seconds; without changes a read waits one second, and the next
 starts 0.4 s later, so a copy that is kept up to date stays below it."""
-PUSH_TIMEOUT = 0.6
-"""Time limit for an entry VM to acknowledge an update, in seconds."""
 HOLD_FRACTION = 0.6
 """Fraction of the longest permitted hold for which keys are granted.  A short
 hold frees the keys of an unresponsive target sooner; this one still carries
@@ -85,7 +83,7 @@
         self._dependencies = dependencies
         self._leadership = leadership
         self._shard_coordinators: dict[str, ShardCoordinator] = {}
-        self._acknowledged: dict[tuple[str, str], ShardVersion] = {}
+        self._distributors: dict[str, TableDistributor] = {}
         self._leaving = False
 
     def register(self, handlers: MessageHandlers) -> None:
@@ -162,6 +160,7 @@
     async def _serve_term(self, term: CoordinatorTerm) -> None:
         async with AsyncExitStack() as stack:
             stack.callback(self._shard_coordinators.clear)
+            stack.callback(self._distributors.clear)
             tasks = await stack.enter_async_context(anyio.create_task_group())
             stack.callback(tasks.cancel_scope.cancel)
             tasks.start_soon(self._leadership.renew_until_lost, term)
@@ -184,7 +183,9 @@
                     continue
                 self._shard_coordinators[service] = shard_coordinator
                 stack.push_async_callback(shard_coordinator.aclose)
-                tasks.start_soon(self._push_updates, service, shard_coordinator)
+                distributor = self._make_distributor(shard_coordinator)
+                self._distributors[service] = distributor
+                tasks.start_soon(distributor.run)
             self._shard_coordinators[service].on_targets(
                 targets_of_service(listed, service),
                 targets_of_service(known, service),
@@ -203,44 +204,23 @@
             dependencies.clock,
         )
 
-    async def _push_updates(
-        self, service: str, shard_coordinator: ShardCoordinator
-    ) -> None:
-        while True:
-            changed = shard_coordinator.changed
-            async with anyio.create_task_group() as tasks:
-                for vm in self._dependencies.directory.vms().values():
-                    tasks.start_soon(
-                        self._push_update, vm, service, shard_coordinator
-                    )
-            await changed.wait()
-
-    async def _push_update(
-        self, vm: VmRecord, service: str, shard_coordinator: ShardCoordinator
-    ) -> None:
-        known = self._acknowledged.get((vm.incarnation, service))
-        epoch, number = (known.epoch, known.number) if known else (0, 0)
-        update = shard_coordinator.update_for(epoch, number)
-        if update is None:
-            return
-        try:
-            with anyio.fail_after(PUSH_TIMEOUT):
-                answer = await self._dependencies.links.call(
-                    Address.parse(vm.links), update
-                )
-        except (LinkError, TimeoutError) as error:
-            reason = str(error) or type(error).__name__
-            log_event(Event.PEER_NOT_TOLD, peer=vm.name, reason=reason)
-            return
-        if isinstance(answer, ShardVersion):
-            self._acknowledged[vm.incarnation, service] = answer
+    def _make_distributor(
+        self, shard_coordinator: ShardCoordinator
+    ) -> TableDistributor:
+        dependencies = self._dependencies
+        return TableDistributor(
+            shard_coordinator,
+            dependencies.directory,
+            dependencies.links,
+            dependencies.clock,
+        )
 
     async def _on_report(self, _link: Link, report: LoadReport) -> object:
-        shard_coordinator = self._shard_coordinators.get(report.service_name)
         version = ShardVersion(report.service_name, report.epoch, report.number)
-        if shard_coordinator is None or self._leadership.term is None:
+        distributor = self._distributors.get(report.service_name)
+        if distributor is None or self._leadership.term is None:
             return version
-        return shard_coordinator.on_report(report) or version
+        return distributor.on_report(report) or version
 
 
 async def _load_shards(shard_coordinator: ShardCoordinator) -> bool:
--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -168,12 +168,21 @@
         sync = DirectorySync(
             SourceSelector(vm.name, vm.zone),
             SyncDependencies(
-                self._directory, self._store, self._links, self._clock
+                self._directory,
+                self._view,
+                self._store,
+                self._links,
+                self._clock,
             ),
             self._timing,
         )
         reporter = LoadReporter(
-            vm.name, self._view, self._targets, self._directory, self._links
+            vm.name,
+            self._view,
+            self._targets,
+            self._directory,
+            self._links,
+            lambda: sync.reads_store,
         )
         sync.subscribe(self._on_changes)
         self._monitor.add_gauges(self._metrics)
--- a/src/dogwoodmast/direct/directory.py
+++ b/src/dogwoodmast/direct/directory.py
@@ -19,6 +19,7 @@
     ShardRecord,
     VmRecord,
 )
+from dogwoodmast.direct.shard_record import unpack_record
 from dogwoodmast.errors import MalformedFrame
 
 if TYPE_CHECKING:
@@ -46,7 +47,6 @@
 _ROUTER_RECORD_TYPES = (
     (VM_PREFIX, 'VmRecord'),
     (COORDINATOR_KEY, 'VmRecord'),
-    (SHARD_PREFIX, 'ShardRecord'),
 )
 
 
@@ -241,6 +241,8 @@
     ) -> DirectoryPage:
         """Collect the changes that another entry VM lacks.
 
+        Stored shard records are left out, since shard tables are newer.
+
         :param after: Store revision of the other VM's copy.
         :param now: Monotonic time in seconds.
         :param is_relayed: Whether this VM does not read the store itself.
@@ -257,7 +259,8 @@
                 max(0, entry.retained_until - now),
             )
             for entry in self._entries.values()
-            if is_complete or entry.revision > after
+            if (is_complete or entry.revision > after)
+            and not entry.key.startswith(SHARD_PREFIX)
         )
         age = min(self.age(now), MAX_REPORTED_AGE)
         return DirectoryPage(
@@ -342,6 +345,8 @@
         return True
 
     def _decode(self, key: str, content: bytes) -> Any:
+        if key.startswith(SHARD_PREFIX):
+            return _decode_shard_record(content)
         for prefix, type_name in _ROUTER_RECORD_TYPES:
             if key.startswith(prefix):
                 return _decode_router_record(type_name, content)
@@ -352,6 +357,13 @@
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
 
 
+def _decode_shard_record(content: bytes) -> ShardRecord | None:
+    try:
+        return unpack_record(content)
+    except MalformedFrame:
+        return None
+
+
 def _decode_router_record(type_name: str, content: bytes) -> object | None:
     try:
         return decode(type_name, content)
--- a/src/dogwoodmast/direct/directory_sync.py
+++ b/src/dogwoodmast/direct/directory_sync.py
@@ -15,7 +15,13 @@
 
 from dogwoodmast.clock import Clock
 from dogwoodmast.direct.directory import Directory
-from dogwoodmast.direct.messages import DirectoryPage, DirectoryPull
+from dogwoodmast.direct.messages import (
+    DirectoryPage,
+    DirectoryPull,
+    ShardImage,
+    ShardUpdate,
+)
+from dogwoodmast.direct.shard_view import ShardView
 from dogwoodmast.direct.source_selector import (
     Source,
     SourceSelector,
@@ -49,6 +55,8 @@
 
     directory: Directory
     """Copy of the store to keep up to date."""
+    view: ShardView
+    """Shard tables to keep up to date."""
     store: PolledStore
     """Client of the platform's store."""
     links: LinkPool
@@ -75,6 +83,7 @@
         self._timing = timing
         self._selector = selector
         self._directory = dependencies.directory
+        self._view = dependencies.view
         self._store = dependencies.store
         self._links = dependencies.links
         self._clock = dependencies.clock
@@ -152,11 +161,19 @@
         self._last_failure = 'an earlier source is tried again'
 
     async def _on_pull(self, _link: Link, message: DirectoryPull) -> object:
-        return self._directory.page_since(
+        page = self._directory.page_since(
             message.after,
             self._clock.monotonic(),
             is_relayed=not self.reads_store,
         )
+        tables = self._view.updates_since(message.tables)
+        return attrs.evolve(
+            page,
+            updates=tuple(
+                one for one in tables if isinstance(one, ShardUpdate)
+            ),
+            images=tuple(one for one in tables if isinstance(one, ShardImage)),
+        )
 
     async def _read_store(self, source: StoreSource, now: float) -> None:
         wait = self._timing.long_poll_time if self._time_left(now) > 0 else 0
@@ -209,6 +226,10 @@
             self._selector.on_failure(source, received_at)
             return
         self._notify(self._directory.on_page(page, now, received_at))
+        for update in page.updates:
+            self._view.on_update(update)
+        for image in page.images:
+            self._view.on_image(image)
         if self._is_acceptable(page, received_at):
             self._selector.on_success(source)
             await anyio.sleep(
@@ -244,7 +265,7 @@
     async def _request_page(
         self, source: VmSource, timeout: float
     ) -> DirectoryPage | None:
-        request = DirectoryPull(self._directory.revision)
+        request = DirectoryPull(self._directory.revision, self._view.versions())
         try:
             with anyio.fail_after(timeout):
                 answer = await self._links.call(source.address, request)
--- a/src/dogwoodmast/direct/messages.py
+++ b/src/dogwoodmast/direct/messages.py
@@ -43,35 +43,6 @@
     because it may have expired only due to an outage of the store."""
 
 
-@wire_message(_IDL)
-@attrs.frozen
-class DirectoryPull:
-    """Request of an entry VM for the keys that its copy lacks."""
-
-    after: int
-    """Store revision of the requesting VM's copy."""
-
-
-@wire_message(_IDL)
-@attrs.frozen
-class DirectoryPage:
-    """Response to a pull: the keys that changed after a revision."""
-
-    revision: int
-    """Store revision that the page brings a copy up to."""
-    age: float
-    """Time since the store confirmed that revision, in seconds."""
-    items: tuple[DirectoryItem, ...]
-    """Keys that changed or were removed."""
-    is_relayed: bool = False
-    """Whether the sender pulls from another VM itself."""
-    is_complete: bool = False
-    """Whether keys that are not among the items have been removed."""
-    has_gap: bool = False
-    """Whether the sender may have missed keys that came and went since the
-    revision of the requesting VM's copy."""
-
-
 @wire_message(_IDL)
 @attrs.frozen
 class ShardAssignment:
@@ -139,6 +110,50 @@
     """Table version within the epoch."""
 
 
+@wire_message(_IDL)
+@attrs.frozen
+class ShardImage:
+    """Complete shard table of a service, sent instead of an update."""
+
+    content: bytes
+    """Compressed :class:`ShardRecord`."""
+
+
+@wire_message(_IDL)
+@attrs.frozen
+class DirectoryPull:
+    """Request of an entry VM for the keys that its copy lacks."""
+
+    after: int
+    """Store revision of the requesting VM's copy."""
+    tables: tuple[ShardVersion, ...] = ()
+    """Versions of the shard tables of the requesting VM."""
+
+
+@wire_message(_IDL)
+@attrs.frozen
+class DirectoryPage:
+    """Response to a pull: the keys that changed after a revision."""
+
+    revision: int
+    """Store revision that the page brings a copy up to."""
+    age: float
+    """Time since the store confirmed that revision, in seconds."""
+    items: tuple[DirectoryItem, ...]
+    """Keys that changed or were removed."""
+    is_relayed: bool = False
+    """Whether the sender pulls from another VM itself."""
+    is_complete: bool = False
+    """Whether keys that are not among the items have been removed."""
+    has_gap: bool = False
+    """Whether the sender may have missed keys that came and went since the
+    revision of the requesting VM's copy."""
+    updates: tuple[ShardUpdate, ...] = ()
+    """Incremental updates of the requesting VM's shard tables."""
+    images: tuple[ShardImage, ...] = ()
+    """Shard tables for which there is no incremental update."""
+
+
 @wire_message(_IDL)
 @attrs.frozen
 class KeyCount:
@@ -182,3 +197,5 @@
     """Requests by key since the previous report."""
     paces: tuple[TargetPace, ...]
     """Baseline latencies of the service's targets."""
+    reads_store: bool = False
+    """Whether the VM reads changes from the store, not from another VM."""
--- a/src/dogwoodmast/direct/shard_coordinator.py
+++ b/src/dogwoodmast/direct/shard_coordinator.py
@@ -6,13 +6,10 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import TYPE_CHECKING
 
 import anyio
-import attrs
 
-from dogwoodmast._wire import decode, encode
 from dogwoodmast.direct.directory import SHARD_PREFIX
 from dogwoodmast.direct.grant_state_machine import (
     GrantAnswer,
@@ -21,19 +18,17 @@
     divide_keys,
 )
 from dogwoodmast.direct.leadership import LEASE_TTL
-from dogwoodmast.direct.messages import (
-    ShardAssignment,
-    ShardRecord,
-    ShardUpdate,
-)
+from dogwoodmast.direct.messages import ShardRecord
 from dogwoodmast.direct.shard import Phase
 from dogwoodmast.direct.shard_planner import (
     INITIAL_SHARDS_PER_TARGET,
     KeyLoads,
     ShardPlanner,
 )
+from dogwoodmast.direct.shard_record import pack_record, unpack_record
 from dogwoodmast.direct.target_control import GRANT_TIMEOUT, TargetControl
 from dogwoodmast.direct.target_latencies import TargetLatencies
+from dogwoodmast.direct.update_log import UpdateLog
 from dogwoodmast.errors import PlatformAnswerLost, PlatformError
 from dogwoodmast.events import Event, log_event
 from dogwoodmast.key_value import MISSING_REVISION, Expectation, Put
@@ -47,7 +42,12 @@
     from dogwoodmast.direct.catalog import Target
     from dogwoodmast.direct.grant_state_machine import TargetCall
     from dogwoodmast.direct.leadership import Leadership
-    from dogwoodmast.direct.messages import LoadReport
+    from dogwoodmast.direct.messages import (
+        LoadReport,
+        ShardImage,
+        ShardUpdate,
+        ShardVersion,
+    )
     from dogwoodmast.direct.shard import Shard
     from dogwoodmast.key_value import PolledStore
 
@@ -60,9 +60,6 @@
 """Time in seconds without a new target before keys are first assigned, so that
 they are spread over all targets: each target is listed with its next heartbeat,
 and the copy of the store lags behind."""
-MAX_KEPT_UPDATES = 256
-"""Number of table versions whose changes are kept for incremental updates; an
-entry VM that lags further behind gets the full table."""
 EARLIER_TERM_GRANT_WINDOW = LEASE_TTL + GRANT_TIMEOUT
 """Time in seconds for which grant calls of an earlier term may still be in
 progress.  The lease of its coordinator may have been revoked right after a
@@ -72,71 +69,6 @@
 """Pause before the retry of a failed write of the record, in seconds."""
 
 
-@attrs.frozen
-class _Change:
-    number: int
-    """Table version that the change leads to."""
-    assignments: tuple[ShardAssignment, ...]
-    """Assignments that changed."""
-
-
-@attrs.define
-class UpdateLog:
-    """Recent changes of a shard table, for updates of entry VMs."""
-
-    service: str
-    """Name of the service."""
-    epoch: int
-    """Epoch of the coordinator's term."""
-    number: int = 0
-    """Newest version of the table within the epoch."""
-    _changes: deque[_Change] = attrs.field(
-        factory=lambda: deque(maxlen=MAX_KEPT_UPDATES)
-    )
-
-    def add(self, shards: Iterable[Shard]) -> bool:
-        """Record changed shards as a new version of the table.
-
-        :param shards: Shards that changed.
-        :return: Whether there were any, and so a new version.
-        """
-        assignments = tuple(shard.assignment for shard in shards)
-        if not assignments:
-            return False
-        self.number += 1
-        self._changes.append(_Change(self.number, assignments))
-        return True
-
-    def since(
-        self, epoch: int, number: int, shards: Iterable[Shard]
-    ) -> ShardUpdate | None:
-        """Build the update from an entry VM's version to the newest one.
-
-        :param epoch: Epoch of the VM's table.
-        :param number: Version of the VM's table within its epoch.
-        :param shards: All shards of the service.
-        :return: An incremental update if all changes since then are kept,
-            else a full one; ``None`` if the table is up to date.
-        """
-        if (epoch, number) >= (self.epoch, self.number) or not self.number:
-            return None
-        oldest = self._changes[0].number if self._changes else self.number + 1
-        if epoch == self.epoch and number > 0 and number + 1 >= oldest:
-            changed = tuple(
-                assignment
-                for change in self._changes
-                if change.number > number
-                for assignment in change.assignments
-            )
-            return ShardUpdate(
-                self.service, self.epoch, number, self.number, changed
-            )
-        all_assignments = tuple(shard.assignment for shard in shards)
-        return ShardUpdate(
-            self.service, self.epoch, 0, self.number, all_assignments
-        )
-
-
 class ShardCoordinator:
     """Grants the keys of one service to targets for the current term."""
 
@@ -190,11 +122,10 @@
         if found is None:
             return
         self._record_revision = found.revision
-        record = decode('ShardRecord', found.value)
-        if isinstance(record, ShardRecord):
-            now = self._clock.monotonic()
-            self._state_machine.restore(record, now, EARLIER_TERM_GRANT_WINDOW)
-            self._update_log.add(self._state_machine.shards)
+        record = unpack_record(found.value)
+        now = self._clock.monotonic()
+        self._state_machine.restore(record, now, EARLIER_TERM_GRANT_WINDOW)
+        self._log_changes(self._state_machine.shards)
 
     def on_targets(self, targets: list[Target], gone: list[Target]) -> None:
         """Update the targets of the service.
@@ -207,27 +138,30 @@
             self._last_joined_at = self._clock.monotonic()
         self._state_machine.on_targets(targets, gone)
 
-    def on_report(self, report: LoadReport) -> ShardUpdate | None:
+    def on_report(self, report: LoadReport) -> None:
         """Process the load report of an entry VM.
 
         :param report: Report that was received.
-        :return: Update that the VM's table lacks, or ``None`` if it is up to
-            date.
         """
         self._loads.add((one.key, one.requests) for one in report.keys)
         for latency in report.paces:
             self._latencies.add(latency.target, latency.seconds)
-        return self.update_for(report.epoch, report.number)
 
-    def update_for(self, epoch: int, number: int) -> ShardUpdate | None:
-        """Build an update for an entry VM.
+    def update_since(
+        self, version: ShardVersion
+    ) -> ShardUpdate | ShardImage | None:
+        """Build what brings an entry VM's table up to date.
 
-        :param epoch: Epoch of the VM's table.
-        :param number: Version of the VM's table within its epoch.
-        :return: Update to the newest version, or ``None`` if the table is up
-            to date.
+        :param version: Version of the VM's table.
+        :return: Update or image; ``None`` if the VM's table is up to date, or
+            if there are no shards yet.
         """
-        return self._update_log.since(epoch, number, self._state_machine.shards)
+        if not self._update_log.number:
+            return None
+        assignments = (one.assignment for one in self._state_machine.shards)
+        return self._update_log.since(
+            version.epoch, version.number, assignments
+        )
 
     def tick(self, tasks: TaskGroup) -> None:
         """Plan moves, and start the calls and writes that are due.
@@ -325,7 +259,7 @@
             assignments,
         )
         try:
-            await self._write(encode(record))
+            await self._write(pack_record(record))
         finally:
             self._recording = False
         now = self._clock.monotonic()
@@ -368,11 +302,17 @@
         return True
 
     def _publish(self) -> None:
-        if self._update_log.add(self._state_machine.drain_changed()):
+        if self._log_changes(self._state_machine.drain_changed()):
             changed = self._changed
             self._changed = anyio.Event()
             changed.set()
 
+    def _log_changes(self, shards: Iterable[Shard]) -> bool:
+        assignments = tuple(shard.assignment for shard in shards)
+        if assignments:
+            self._update_log.add(self._update_log.number + 1, assignments)
+        return bool(assignments)
+
 
 def _log_failure(call: TargetCall, answer: GrantAnswer) -> None:
     log_event(
--- a/src/dogwoodmast/direct/shard_table.py
+++ b/src/dogwoodmast/direct/shard_table.py
@@ -8,25 +8,37 @@
 import attrs
 
 from dogwoodmast.direct.messages import ShardAssignment
+from dogwoodmast.direct.update_log import UpdateLog
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from dogwoodmast.direct.messages import ShardUpdate
+    from dogwoodmast.direct.messages import (
+        ShardImage,
+        ShardRecord,
+        ShardUpdate,
+        ShardVersion,
+    )
 
 
 @attrs.define
 class ShardTable:
     """Shard assignments of one service, ordered by key, without overlaps."""
 
-    epoch: int = 0
-    """Epoch of the coordinator that the table came from; 0 for none."""
-    number: int = 0
-    """Version of the table within the epoch; 0 if it was read from the
-    store."""
+    _log: UpdateLog = attrs.field(factory=lambda: UpdateLog(''))
     _assignments: list[ShardAssignment] = attrs.field(factory=list)
     _first_keys: list[int] = attrs.field(factory=list)
 
+    @property
+    def epoch(self) -> int:
+        """Epoch of the coordinator that the table came from; 0 for none."""
+        return self._log.epoch
+
+    @property
+    def number(self) -> int:
+        """Version within the epoch; 0 if it was read from the store."""
+        return self._log.number
+
     @property
     def assignments(self) -> tuple[ShardAssignment, ...]:
         """Assignments of all known shards, ordered by key."""
@@ -89,14 +101,33 @@
             return True
         if update.base == 0:
             self.replace(update.assignments)
+            self._log.restart(update.epoch, update.number)
         elif update.epoch == self.epoch and update.base <= self.number:
             self.overlay(update.assignments)
+            self._log.add(update.number, update.assignments)
         else:
             return False
-        self.epoch = update.epoch
-        self.number = update.number
         return True
 
+    def on_record(self, record: ShardRecord, number: int) -> None:
+        """Replace the table by a record of a later version.
+
+        :param record: Shard assignments of the service.
+        :param number: Version of the table within the record's epoch.
+        """
+        self.replace(record.assignments)
+        self._log.restart(record.epoch, number)
+
+    def update_since(
+        self, version: ShardVersion
+    ) -> ShardUpdate | ShardImage | None:
+        """Build what brings another VM's table up to date.
+
+        :param version: Version of the other VM's table.
+        :return: Update or image; ``None`` if its table is up to date.
+        """
+        return self._log.since(version.epoch, version.number, self._assignments)
+
 
 def _first_key(assignment: ShardAssignment) -> int:
     return assignment.first
--- a/src/dogwoodmast/direct/shard_view.py
+++ b/src/dogwoodmast/direct/shard_view.py
@@ -11,18 +11,21 @@
 from dogwoodmast.direct.messages import (
     KeyCount,
     LoadReport,
+    ShardImage,
     ShardRecord,
     ShardUpdate,
     ShardVersion,
     TargetPace,
     VmRecord,
 )
+from dogwoodmast.direct.shard_record import unpack_record
 from dogwoodmast.direct.shard_table import ShardTable
+from dogwoodmast.direct.update_log import UpdateLog
 from dogwoodmast.errors import LinkError
 from dogwoodmast.events import Event, log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from dogwoodmast.direct.directory import Directory
     from dogwoodmast.direct.target_set import TargetSet
@@ -56,7 +59,31 @@
         :param service: Name of the service.
         :return: Shard table, empty until assignments have been received.
         """
-        return self._tables.setdefault(service, ShardTable())
+        if service not in self._tables:
+            self._tables[service] = ShardTable(UpdateLog(service))
+        return self._tables[service]
+
+    def versions(self) -> tuple[ShardVersion, ...]:
+        """Return the versions of all shard tables."""
+        return tuple(
+            ShardVersion(service, table.epoch, table.number)
+            for service, table in self._tables.items()
+        )
+
+    def updates_since(
+        self, versions: Iterable[ShardVersion]
+    ) -> list[ShardUpdate | ShardImage]:
+        """Build what brings another VM's tables up to date.
+
+        :param versions: Versions of the other VM's tables.
+        :return: Updates and images of the tables that are older than here.
+        """
+        known = {one.service_name: one for one in versions}
+        updates = (
+            table.update_since(known.get(service, ShardVersion(service, 0, 0)))
+            for service, table in self._tables.items()
+        )
+        return [one for one in updates if one is not None]
 
     def count(self, service: str, key: int) -> None:
         """Count a request for the next load report.
@@ -88,6 +115,20 @@
             self._notify()
         return ShardVersion(update.service_name, table.epoch, table.number)
 
+    def on_image(self, image: ShardImage) -> ShardVersion:
+        """Apply a complete table that another VM sent.
+
+        :param image: Shard table of one service.
+        :return: Version of the table afterwards.
+        :raises MalformedFrame: If the image cannot be read.
+        """
+        record = unpack_record(image.content)
+        table = self.table(record.service_name)
+        if table.is_older_than(record.epoch, record.number):
+            table.on_record(record, record.number)
+            self._notify()
+        return ShardVersion(record.service_name, table.epoch, table.number)
+
     def on_records(self, records: Iterable[ShardRecord]) -> None:
         """Apply stored records that are of a later epoch than the table.
 
@@ -100,13 +141,12 @@
             # The record may be outdated, since the coordinator's updates are
             # newer.  Requests may be sent all the same: a target that does
             # not hold the key any more refuses them.
-            table.replace(
+            assignments = tuple(
                 attrs.evolve(one, open=True)
                 for one in record.assignments
                 if one.target
             )
-            table.epoch = record.epoch
-            table.number = 0
+            table.on_record(attrs.evolve(record, assignments=assignments), 0)
             self._notify()
 
     def _notify(self) -> None:
@@ -125,6 +165,7 @@
         targets: TargetSet,
         directory: Directory,
         links: LinkPool,
+        reads_store: Callable[[], bool],
     ) -> None:
         """Create the task.
 
@@ -133,19 +174,22 @@
         :param targets: Targets with the latencies that the local VM has seen.
         :param directory: Local copy of the store.
         :param links: Links to other entry VMs.
+        :param reads_store: Tells whether the local VM reads the store itself.
         """
         self._vm = vm
         self._view = view
         self._targets = targets
         self._directory = directory
         self._links = links
+        self._reads_store = reads_store
 
     def register(self, handlers: MessageHandlers) -> None:
-        """Register the handler for shard updates of the coordinator.
+        """Register the handlers for shard tables of the coordinator.
 
         :param handlers: Message handlers of incoming links.
         """
         handlers.register(ShardUpdate, self._on_update)
+        handlers.register(ShardImage, self._on_image)
 
     async def run(self) -> None:
         """Apply stored records and send load reports until cancelled."""
@@ -163,6 +207,9 @@
     async def _on_update(self, _link: Link, update: ShardUpdate) -> object:
         return self._view.on_update(update)
 
+    async def _on_image(self, _link: Link, image: ShardImage) -> object:
+        return self._view.on_image(image)
+
     async def _report(self, service: str, coordinator: VmRecord) -> None:
         table = self._view.table(service)
         counts = self._view.drain_counts(service)
@@ -174,6 +221,7 @@
             table.number,
             tuple(KeyCount(*one) for one in counts.items()),
             tuple(TargetPace(*one) for one in latencies.items()),
+            self._reads_store(),
         )
         try:
             with anyio.fail_after(REPORT_TIMEOUT):
--- a/src/dogwoodmast/idl/direct.thrift
+++ b/src/dogwoodmast/idl/direct.thrift
@@ -17,19 +17,6 @@
   5: double doubtful_for,
 }
 
-struct DirectoryPull {
-  1: i64 after,
-}
-
-struct DirectoryPage {
-  1: i64 revision,
-  2: double age,
-  3: list<DirectoryItem> items,
-  4: bool is_relayed = 0,
-  5: bool is_complete = 0,
-  6: bool has_gap = 0,
-}
-
 struct ShardAssignment {
   1: i64 first,
   2: i64 last,
@@ -60,6 +47,26 @@
   3: i64 number,
 }
 
+struct ShardImage {
+  1: binary content,
+}
+
+struct DirectoryPull {
+  1: i64 after,
+  2: list<ShardVersion> tables = [],
+}
+
+struct DirectoryPage {
+  1: i64 revision,
+  2: double age,
+  3: list<DirectoryItem> items,
+  4: bool is_relayed = 0,
+  5: bool is_complete = 0,
+  6: bool has_gap = 0,
+  7: list<ShardUpdate> updates = [],
+  8: list<ShardImage> images = [],
+}
+
 struct KeyCount {
   1: i64 key,
   2: double requests,
@@ -77,4 +84,5 @@
   4: i64 number,
   5: list<KeyCount> keys,
   6: list<TargetPace> paces,
+  7: bool reads_store = 0,
 }
--- a/tests/sync_simulation.py
+++ b/tests/sync_simulation.py
@@ -8,7 +8,7 @@
 
 import enum
 import random
-from contextlib import AsyncExitStack
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Any, cast
 
 import anyio
@@ -16,21 +16,38 @@
 
 from dogwoodmast._wire import decode, encode
 from dogwoodmast.address import Address
-from dogwoodmast.direct.directory import VM_PREFIX, Directory
+from dogwoodmast.direct.catalog import RouteTable
+from dogwoodmast.direct.coordinator import Coordinator, CoordinatorDependencies
+from dogwoodmast.direct.directory import COORDINATOR_KEY, VM_PREFIX, Directory
 from dogwoodmast.direct.directory_sync import DirectorySync, SyncDependencies
+from dogwoodmast.direct.json_client import CALL_TIMEOUT
+from dogwoodmast.direct.leadership import Leadership
 from dogwoodmast.direct.messages import VmRecord
+from dogwoodmast.direct.shard_view import LoadReporter, ShardView
 from dogwoodmast.direct.source_selector import SourceSelector
 from dogwoodmast.direct.sync_timing import SyncTiming
+from dogwoodmast.direct.target_set import TargetSet
 from dogwoodmast.errors import (
     LinkUnavailable,
     PlatformAnswerLost,
     PlatformRefused,
 )
-from dogwoodmast.key_value import Change, ChangePage, Snapshot, StoredValue
+from dogwoodmast.key_value import (
+    Change,
+    ChangePage,
+    Delete,
+    Expectation,
+    Put,
+    Snapshot,
+    StoredValue,
+    SwapResult,
+)
 from dogwoodmast.message_handlers import MessageHandlers
 from simulated_time import SimulatedClock
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from anyio.abc import TaskGroup
 
     from dogwoodmast.key_value import PolledStore
@@ -76,13 +93,13 @@
     written: list[tuple[int, float]] = attrs.field(factory=list)
     """Revision and time in seconds of each acknowledged write."""
     reads: list[float] = attrs.field(factory=list)
-    """Time in seconds of each call."""
+    """Time in seconds of each read of changes and each listing."""
     _changed: anyio.Event = attrs.field(factory=anyio.Event)
 
-    def put(self, key: str, content: bytes) -> None:
+    def put(self, key: str, content: bytes, lease: int = 0) -> None:
         """Write a key; the write is acknowledged at once."""
         self.revision += 1
-        self.values[key] = StoredValue(key, content, self.revision)
+        self.values[key] = StoredValue(key, content, self.revision, lease)
         self._append(Change(key, content, self.revision))
 
     def delete(self, key: str) -> None:
@@ -91,6 +108,30 @@
         self.values.pop(key)
         self._append(Change(key, None, self.revision))
 
+    def swap(
+        self,
+        expectations: tuple[Expectation, ...],
+        writes: tuple[Put | Delete, ...],
+    ) -> SwapResult:
+        """Write keys if every expectation holds."""
+        for one in expectations:
+            found = self.values.get(one.key)
+            revision = found.revision if found else 0
+            if revision != one.revision:
+                return SwapResult(succeeded=False, revision=self.revision)
+        for write in writes:
+            if isinstance(write, Put):
+                self.put(write.key, write.value, write.lease)
+            else:
+                self.delete(write.key)
+        return SwapResult(succeeded=True, revision=self.revision)
+
+    def revoke(self, lease: int) -> None:
+        """Delete the keys that are bound to a lease."""
+        for key, found in tuple(self.values.items()):
+            if found.lease == lease:
+                self.delete(key)
+
     async def changes_since(self, after: int, wait: float) -> ChangePage:
         """Return the changes after a revision, and wait for one if needed."""
         if self.revision <= after:
@@ -121,30 +162,68 @@
     """Time in seconds until which it need not keep the bound."""
     directory: Directory = attrs.field(init=False)
     """Its copy of the store."""
+    view: ShardView = attrs.field(init=False)
+    """Its shard tables."""
+    sent_bytes: int = 0
+    """Bytes of the messages that it has sent."""
     _handlers: MessageHandlers = attrs.field(init=False)
     _scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
 
     def start(self, tasks: TaskGroup) -> None:
         """Start its process with an empty copy."""
-        self.directory = Directory(lambda _key, _content: None)
+        self.directory = Directory(self.fleet.decode_item)
+        self.view = ShardView()
         self._handlers = MessageHandlers()
         sync = DirectorySync(
             SourceSelector(self.record.name, self.record.zone),
             SyncDependencies(
                 self.directory,
+                self.view,
                 cast('PolledStore', self),
                 cast('LinkPool', self),
                 SimulatedClock(),
             ),
             SyncTiming(self.fleet.bound),
         )
-        sync.register(self._handlers)
+        reporter = LoadReporter(
+            self.record.name,
+            self.view,
+            TargetSet(self.record.zone, SimulatedClock()),
+            self.directory,
+            cast('LinkPool', self),
+            lambda: sync.reads_store,
+        )
+        coordinator = self._make_coordinator()
         self._scope = anyio.CancelScope()
-        tasks.start_soon(self._run, sync)
+        for part in (sync, reporter, coordinator):
+            part.register(self._handlers)
+        tasks.start_soon(self._run, sync, reporter, coordinator)
+
+    def _make_coordinator(self) -> Coordinator:
+        store = cast('PolledStore', self)
+        clock = SimulatedClock()
+        dependencies = CoordinatorDependencies(
+            self.record,
+            self.directory,
+            store,
+            cast('LinkPool', self),
+            clock,
+            longest_hold=10,
+        )
+        leadership = Leadership(self.record, store, clock)
+        return Coordinator(dependencies, leadership)
 
-    async def _run(self, sync: DirectorySync) -> None:
+    async def _run(
+        self, *parts: DirectorySync | LoadReporter | Coordinator
+    ) -> None:
         with self._scope:
-            await sync.run()
+            async with anyio.create_task_group() as tasks:
+                for part in parts:
+                    tasks.start_soon(part.run)
+
+    def stop(self) -> None:
+        """End its process."""
+        self._scope.cancel()
 
     async def suffer(
         self, tasks: TaskGroup, fault: VmFault, seconds: float
@@ -154,7 +233,7 @@
         self.disturbed_until = float('inf')
         has_ended = fault in {VmFault.POWER, VmFault.PROCESS}
         if has_ended:
-            self._scope.cancel()
+            self.stop()
         await anyio.sleep(seconds)
         self.fault = VmFault.NONE
         self.disturbed_until = anyio.current_time() + CONTACT_TIME
@@ -164,19 +243,54 @@
     async def call(self, address: Address, message: object) -> Any:
         """Send a message to another VM and return its answer."""
         peer = self.fleet.vms[address.port - 1]
+        self.sent_bytes += len(encode(message))
         await anyio.sleep(LINK_LATENCY)
         if peer.fault is VmFault.PROCESS:
             raise LinkUnavailable(str(address))
         if peer.fault is VmFault.POWER:
             await anyio.sleep_forever()
         answer = await peer._handlers(cast('Any', None), _over_wire(message))
+        peer.sent_bytes += len(encode(answer))
         delay = SLOW_ANSWER_DELAY if peer.fault is VmFault.SLOW else 0
         await anyio.sleep(LINK_LATENCY + delay)
         return _over_wire(answer)
 
+    async def read(self, key: str) -> Snapshot:
+        """Read one key."""
+        await self._reach_store(CALL_TIMEOUT)
+        store = self.fleet.store
+        found = store.values.get(key)
+        return Snapshot(store.revision, (found,) if found else ())
+
+    async def swap(
+        self,
+        expectations: tuple[Expectation, ...],
+        writes: tuple[Put | Delete, ...],
+    ) -> SwapResult:
+        """Write keys if every expectation holds."""
+        await self._reach_store(CALL_TIMEOUT)
+        return self.fleet.store.swap(expectations, writes)
+
+    async def grant_lease(self, _ttl: int) -> int:
+        """Create a lease, which ends only when it is revoked."""
+        await self._reach_store(CALL_TIMEOUT)
+        self.fleet.last_lease += 1
+        return self.fleet.last_lease
+
+    async def renew_lease(self, _lease: int) -> bool:
+        """Renew a lease."""
+        await self._reach_store(CALL_TIMEOUT)
+        return True
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease."""
+        await self._reach_store(CALL_TIMEOUT)
+        self.fleet.store.revoke(lease)
+
     async def read_prefix(self, _prefix: str) -> Snapshot:
         """List the store."""
-        await self._reach_store(1.5)
+        self.fleet.store.reads.append(anyio.current_time())
+        await self._reach_store(CALL_TIMEOUT)
         store = self.fleet.store
         return Snapshot(store.revision, tuple(store.values.values()))
 
@@ -184,11 +298,11 @@
         self, _prefix: str, after: int, wait: float, timeout: float
     ) -> ChangePage:
         """Read changes of the store."""
+        self.fleet.store.reads.append(anyio.current_time())
         await self._reach_store(wait + timeout)
         return await self.fleet.store.changes_since(after, wait)
 
     async def _reach_store(self, timeout: float) -> None:
-        self.fleet.store.reads.append(anyio.current_time())
         await anyio.sleep(STORE_LATENCY)
         if self.fault is VmFault.STORE_SILENT:
             await anyio.sleep(timeout)
@@ -205,8 +319,12 @@
     """Time within which each change has to reach each VM, in seconds."""
     vms: list[SimulatedVm] = attrs.field(factory=list)
     """All entry VMs; their ports are counted from 1."""
+    configuration: RouteTable | None = None
+    """Decoded value of the key ``op/config``."""
     store: SimulatedStore = attrs.field(factory=SimulatedStore)
     """Store of the fleet."""
+    last_lease: int = 0
+    """Number of the latest lease."""
     late: list[tuple[str, int]] = attrs.field(factory=list)
     """VM and revision of each change that came later than the bound."""
 
@@ -220,6 +338,36 @@
             self.vms.append(SimulatedVm(self, record))
             self.store.put(f'{VM_PREFIX}{name}', encode(record))
 
+    @property
+    def epoch(self) -> int:
+        """Epoch of the current term; 0 if there is no coordinator."""
+        found = self.store.values.get(COORDINATOR_KEY)
+        return found.revision if found else 0
+
+    def decode_item(self, key: str, _content: bytes) -> RouteTable | None:
+        """Decode a document of the operator.
+
+        :param key: Key of the document.
+        :return: Configuration of the fleet, if the key is the operator's.
+        """
+        return self.configuration if key == 'op/config' else None
+
+    def coordinator(self) -> SimulatedVm | None:
+        """Return the VM that has the coordinator role, if any."""
+        found = self.store.values.get(COORDINATOR_KEY)
+        if found is None:
+            return None
+        return next(vm for vm in self.vms if encode(vm.record) == found.value)
+
+    @asynccontextmanager
+    async def running(self) -> AsyncIterator[TaskGroup]:
+        """Run all VMs until the block ends."""
+        async with anyio.create_task_group() as tasks:
+            for vm in self.vms:
+                vm.start(tasks)
+            yield tasks
+            tasks.cancel_scope.cancel()
+
     async def play(
         self, faults: list[tuple[float, int, VmFault, float]], seconds: float
     ) -> None:
@@ -228,11 +376,7 @@
         :param faults: Start, VM, kind and duration of each fault, in seconds.
         :param seconds: Duration of the run.
         """
-        async with AsyncExitStack() as stack:
-            tasks = await stack.enter_async_context(anyio.create_task_group())
-            stack.callback(tasks.cancel_scope.cancel)
-            for vm in self.vms:
-                vm.start(tasks)
+        async with self.running() as tasks:
             for start, number, fault, lasting in faults:
                 tasks.start_soon(
                     self._inject, tasks, start, self.vms[number], fault, lasting
