Refuse a configuration that is invalid or of a lower version

What callers would see: requests routed by a document that names services that do not exist or has no timeout, or by an earlier version that was written anew.

Cause: the decoder took any document whose fields it could convert, and the copy of the store compared revisions but not versions. Both are checked now, the whole document counts or none of it, and RECORD_INVALID and CONFIGURATION_STALE say why one does not.

--- a/src/dogwoodmast/direct/directory.py
+++ b/src/dogwoodmast/direct/directory.py
@@ -21,6 +21,7 @@
 )
 from dogwoodmast.direct.shard_record import unpack_record
 from dogwoodmast.errors import MalformedFrame
+from dogwoodmast.events import Event, log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -325,6 +326,8 @@
         if known is not None and known.revision >= revision:
             return False
         decoded = self._decode(key, content)
+        if isinstance(decoded, RouteTable) and self._is_outdated(decoded):
+            decoded = None
         if known is not None and not known.removed and known.decoded == decoded:
             return False
         self._entries[key] = Entry(key, revision, content, decoded)
@@ -332,6 +335,17 @@
             self._route_table = decoded
         return True
 
+    def _is_outdated(self, table: RouteTable) -> bool:
+        in_force = self._route_table
+        if in_force is None or table.version >= in_force.version:
+            return False
+        log_event(
+            Event.CONFIGURATION_STALE,
+            version=in_force.version,
+            offered=table.version,
+        )
+        return True
+
     def _remove(self, key: str, revision: int, now: float) -> bool:
         known = self._entries.get(key)
         if known is None or known.removed or known.revision > revision:
--- a/src/dogwoodmast/platform/documents.py
+++ b/src/dogwoodmast/platform/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Any
 
 import orjson
@@ -15,8 +16,11 @@
     Target,
     WeightedService,
 )
+from dogwoodmast.events import Event, log_event
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from dogwoodmast.direct.catalog import CatalogItem
 
 _CONFIGURATION_KEY = 'op/config'
@@ -34,6 +38,10 @@
 )
 
 
+class _InvalidConfiguration(ValueError):
+    """A configuration document contradicts itself."""
+
+
 def decode_catalog_item(key: str, content: bytes) -> CatalogItem | None:
     """Decode the configuration or the listing of a target.
 
@@ -42,9 +50,9 @@
     :return: Route table or target; ``None`` if the document is not valid, is
         of another kind, or lists a target that is neither ready nor draining.
     """
+    if key == _CONFIGURATION_KEY:
+        return _decode_configuration(key, content)
     try:
-        if key == _CONFIGURATION_KEY:
-            return _route_table(orjson.loads(content))
         if key.startswith(_TARGET_PREFIX):
             name = key.removeprefix(_TARGET_PREFIX)
             return _target(name, orjson.loads(content))
@@ -53,6 +61,54 @@
     return None
 
 
+def _decode_configuration(key: str, content: bytes) -> RouteTable | None:
+    try:
+        table = _route_table(orjson.loads(content))
+        _check_table(table)
+    except _INVALID_DOCUMENT_ERRORS as error:
+        log_event(Event.RECORD_INVALID, key=key, reason=repr(error))
+        return None
+    return table
+
+
+def _check_table(table: RouteTable) -> None:
+    limits = table.limits
+    _check_positive(
+        'limit',
+        (
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_time,
+            limits.idle_time,
+        ),
+    )
+    for route in table.routes:
+        _check_route(route)
+        for part in route.weighted_services:
+            if part.service not in table.services:
+                raise _InvalidConfiguration(
+                    f'route {route.name}: no service {part.service}'
+                )
+
+
+def _check_route(route: Route) -> None:
+    if not (route.prefix.startswith('/') and route.prefix.endswith('/')):
+        raise _InvalidConfiguration(f'route {route.name}: prefix')
+    _check_positive(
+        f'route {route.name}: timeout, objective or attempts',
+        (route.timeout, route.latency_objective, route.max_attempts),
+    )
+    weights = [part.weight for part in route.weighted_services]
+    _check_positive(f'route {route.name}: sum of weights', (sum(weights),))
+    if min(weights) < 0 or route.priority < 0:
+        raise _InvalidConfiguration(f'route {route.name}: negative number')
+
+
+def _check_positive(name: str, numbers: Iterable[float]) -> None:
+    if not all(math.isfinite(one) and one > 0 for one in numbers):
+        raise _InvalidConfiguration(f'{name}: must be positive')
+
+
 def _route_table(document: dict[str, Any]) -> RouteTable:
     limits = document['limits']
     return RouteTable(
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -15,7 +15,13 @@
     retry_delay,
     should_queue,
 )
-from dogwoodmast.direct.catalog import Target, WeightedService, pick_service
+from dogwoodmast.direct.catalog import (
+    CallerLimits,
+    RouteTable,
+    Target,
+    WeightedService,
+    pick_service,
+)
 from dogwoodmast.direct.directory import Directory
 from dogwoodmast.direct.messages import ShardAssignment, ShardUpdate, VmRecord
 from dogwoodmast.direct.retry_budget import BUDGET_SHARE, RetryBudget
@@ -373,6 +379,21 @@
     assert directory.targets(3.0)['x'].born == 2
 
 
+def test_configuration_of_a_lower_version_is_not_taken() -> None:
+    """A later write of the store may hold an earlier version."""
+    limits = CallerLimits(1, 1, 1, 1)
+    directory = Directory(
+        lambda _key, content: RouteTable(int(content), (), {}, limits)
+    )
+    versions = []
+    for revision, content in ((5, b'7'), (6, b'6'), (7, b'8')):
+        change = Change('op/config', content, revision)
+        directory.on_changes(ChangePage(revision, (change,)), 1.0)
+        assert directory.route_table is not None
+        versions.append(directory.route_table.version)
+    assert versions == [7, 7, 8]
+
+
 def test_removed_entry_is_dropped_at_once() -> None:
     """An entry that is removed while the store works is dropped at once.
 
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -6,6 +6,7 @@
 import pathlib
 import re
 import tomllib
+import types
 
 import pytest
 from hypothesis import given
@@ -91,6 +92,74 @@
     )
 
 
+ROUTE = types.MappingProxyType(
+    {
+        'name': 'r',
+        'host': 'h.example',
+        'prefix': '/a/',
+        'type': 'idempotent',
+        'timeout_s': 2,
+        'objective_s': 1.3,
+        'service': 's',
+    }
+)
+LIMITS = types.MappingProxyType(
+    {
+        'max_header_bytes': 16_384,
+        'max_body_bytes': 65_536,
+        'header_timeout_s': 3,
+        'idle_timeout_s': 15,
+    }
+)
+
+
+def encode_configuration(route: dict[str, object], **changes: object) -> bytes:
+    """Encode a configuration with one route.
+
+    :param route: Fields of the route that replace valid ones.
+    :param changes: Fields of the document that replace valid ones.
+    :return: Document as the operator writes it.
+    """
+    document = {
+        'version': '0000000c',
+        'routes': [{**ROUTE, **route}],
+        'services': [{'name': 's'}],
+        'limits': dict(LIMITS),
+        **changes,
+    }
+    return json.dumps(document).encode()
+
+
+def test_valid_configuration_is_decoded() -> None:
+    """The documents of the next test are invalid by their changes only."""
+    found = decode_catalog_item('op/config', encode_configuration({}))
+    assert isinstance(found, RouteTable)
+    assert found.version == 12
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        encode_configuration({})[:-1],
+        encode_configuration({'service': 'other'}),
+        encode_configuration({'timeout_s': 0}),
+        encode_configuration({'timeout_s': -1}),
+        encode_configuration({'timeout_s': None}),
+        encode_configuration({'objective_s': float('nan')}),
+        encode_configuration({'max_attempts': 0}),
+        encode_configuration({'priority': -1}),
+        encode_configuration({'prefix': 'a/'}),
+        encode_configuration({'split': [{'service': 's', 'weight': 0}]}),
+        encode_configuration({'split': [{'service': 's'}]}),
+        encode_configuration({}, limits={**LIMITS, 'max_body_bytes': 0}),
+        encode_configuration({}, version='12 or so'),
+    ],
+)
+def test_invalid_configuration_is_refused_as_a_whole(content: bytes) -> None:
+    """No part of it may come into force."""
+    assert decode_catalog_item('op/config', content) is None
+
+
 def test_invalid_caller_headers_count_as_missing() -> None:
     """Invalid headers of a caller count as missing.
 
