Prefer VMs with bandwidth for reading the store and coordinating

A VM tells its capacity in its record, and the preferred one of a zone reads the store and campaigns first. Names decide between equals.

Evidence: test_vm_with_the_most_capacity_reads_the_store_for_its_zone failed on the code before.

--- a/src/dogwoodmast/direct/coordinator.py
+++ b/src/dogwoodmast/direct/coordinator.py
@@ -38,7 +38,7 @@
 VACANCY_CHECK_INTERVAL = 0.25
 """Pause between two checks whether the role is vacant, in seconds."""
 CAMPAIGN_DELAY_PER_RANK = 0.15
-"""Delay of a VM's campaign for each VM whose name sorts before its own, in
+"""Delay of a VM's campaign for each VM that is preferred to it, in
 seconds; a write to the store reaches the other VMs in less time, so that
 later VMs see a new coordinator before they campaign."""
 MAX_DIRECTORY_AGE = 2.0
@@ -142,9 +142,9 @@
         return [one.name for one in table.services.values() if one.sharded]
 
     def _rank(self) -> int:
-        names = sorted(self._dependencies.directory.vms())
-        own = self._dependencies.record.name
-        return names.index(own) if own in names else len(names)
+        own = self._dependencies.record.preference
+        others = self._dependencies.directory.vms().values()
+        return sum(one.preference < own for one in others)
 
     async def _try_acquire(
         self, acquire: Callable[[], Awaitable[CoordinatorTerm | None]]
--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -88,6 +88,7 @@
             settings.vm.zone,
             str(settings.listen.links),
             secrets.token_hex(INCARNATION_BYTES),
+            settings.capacity,
         )
         self._monitor = ProcessMonitor()
         self._links = LinkPool(
--- a/src/dogwoodmast/direct/directory_sync.py
+++ b/src/dogwoodmast/direct/directory_sync.py
@@ -45,6 +45,8 @@
 LONGEST_READ_TIMEOUT = 1.5
 """Longest time limit for the store's answer beyond the wait, in seconds; a
 slow store needs more than the first limit."""
+FUTILE_PULL_DELAY = 0.1
+"""Pause after a VM without the store has pulled in vain, in seconds."""
 NO_SOURCE = 'none'
 """Name, for the log, of the source before the first one."""
 
@@ -89,6 +91,7 @@
         self._clock = dependencies.clock
         self._listeners: list[Callable[[list[str]], None]] = []
         self._store_failures = 0
+        self._store_read_at = float('-inf')
         self._source: Source | None = None
         self._source_changes = 0
         self._last_failure = 'start'
@@ -101,8 +104,9 @@
 
     @property
     def reads_store(self) -> bool:
-        """Whether changes are read from the store, not from another VM."""
-        return isinstance(self._source, StoreSource)
+        """Whether the store was read lately, not only other VMs' copies."""
+        age = self._clock.monotonic() - self._store_read_at
+        return age <= self._timing.max_source_age
 
     @property
     def source_changes(self) -> int:
@@ -185,6 +189,7 @@
         if self._store_failures:
             self._store_failures = 0
             log_event(Event.PLATFORM_BACK, revision=self._directory.revision)
+        self._store_read_at = now
         self._selector.on_success(source)
         self._notify(changed)
         await anyio.sleep(self._timing.read_interval)
@@ -223,7 +228,7 @@
         page = await self._request_page(source, self._pull_timeout(now))
         received_at = self._clock.monotonic()
         if page is None:
-            self._selector.on_failure(source, received_at)
+            await self._on_pull_failure(source, received_at)
             return
         self._notify(self._directory.on_page(page, now, received_at))
         for update in page.updates:
@@ -236,7 +241,13 @@
                 min(self._timing.pull_interval, self._time_left(received_at))
             )
         else:
-            self._selector.on_failure(source, received_at)
+            await self._on_pull_failure(source, received_at)
+
+    async def _on_pull_failure(self, source: VmSource, now: float) -> None:
+        self._selector.on_failure(source, now)
+        if self._selector.is_store_suspect(now):
+            # All VMs of a zone that is cut off ask each other in vain.
+            await anyio.sleep(FUTILE_PULL_DELAY)
 
     def _pull_timeout(self, now: float) -> float:
         """Return the time limit of a pull.
--- a/src/dogwoodmast/direct/messages.py
+++ b/src/dogwoodmast/direct/messages.py
@@ -22,6 +22,17 @@
     """Address, as HOST:PORT, at which it accepts links of other entry VMs."""
     incarnation: str
     """Identifier of the process; it differs after every start."""
+    capacity: float = 0
+    """Bandwidth times processor share; only its order matters."""
+
+    @property
+    def preference(self) -> tuple[float, str]:
+        """Sort key by which VMs are preferred for work on behalf of others.
+
+        Reading the store for a zone and coordinating cost bandwidth, so VMs
+        with more of it come first.
+        """
+        return (-self.capacity, self.name)
 
 
 @wire_message(_IDL)
--- a/src/dogwoodmast/direct/settings.py
+++ b/src/dogwoodmast/direct/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -83,6 +84,9 @@
     """Limits set by the platform contract."""
     log: LogSettings
     """Settings of the log."""
+    capacity: float = 0
+    """Bandwidth times processor share of the VM, 0 if not known; VMs with a
+    greater one are preferred for work on behalf of others."""
 
 
 def load_direct_settings(path: pathlib.Path) -> DirectSettings:
@@ -108,6 +112,7 @@
         store=_read_store(root),
         bounds=_read_bounds(root),
         log=read_log_settings(root),
+        capacity=_read_capacity(root),
     )
 
 
@@ -130,6 +135,19 @@
     return address
 
 
+def _read_capacity(root: TableReader) -> float:
+    if not root.has('capacity'):
+        root.allow('capacity')
+        return 0
+    reader = root.read_table('capacity', 'bandwidth and processor of the VM')
+    factors = [
+        reader.read(name, _NON_NEGATIVE, 1)
+        for name in ('link_mbps', 'cpu_share', 'cores')
+    ]
+    reader.finish()
+    return float(math.prod(factors))
+
+
 def _read_bounds(root: TableReader) -> Bounds:
     if not root.has('bounds'):
         root.allow('bounds')
--- a/src/dogwoodmast/direct/source_selector.py
+++ b/src/dogwoodmast/direct/source_selector.py
@@ -64,7 +64,7 @@
 class SourceSelector:
     """Selects the source of changes.
 
-    The first VM of a zone reads the store, and the others pull from it.
+    The preferred VM of a zone reads the store, and the others pull from it.
     Sources that failed are skipped for a while.
     """
 
@@ -84,8 +84,8 @@
             rely on another one.
         :return: Source to read from; ``None`` if all have failed recently.
         """
-        by_name = sorted(vms, key=_record_name)
-        in_zone = [one for one in by_name if one.zone == self._zone]
+        ordered = sorted(vms, key=_preference)
+        in_zone = [one for one in ordered if one.zone == self._zone]
         store_is_usable = now >= self._store.until
         if not (is_overdue and store_is_usable):
             for record in in_zone:
@@ -95,7 +95,7 @@
                     return _vm_source(record)
         if store_is_usable:
             return StoreSource()
-        return next(self._usable_vms(in_zone + by_name, now), None)
+        return next(self._usable_vms(in_zone + ordered, now), None)
 
     def is_store_suspect(self, now: float) -> bool:
         """Check whether the store failed recently.
@@ -143,8 +143,8 @@
         return suspicion is not None and now < suspicion.until
 
 
-def _record_name(record: VmRecord) -> str:
-    return record.name
+def _preference(record: VmRecord) -> tuple[float, str]:
+    return record.preference
 
 
 def _vm_source(record: VmRecord) -> VmSource:
--- a/src/dogwoodmast/idl/direct.thrift
+++ b/src/dogwoodmast/idl/direct.thrift
@@ -7,6 +7,7 @@
   2: string zone,
   3: string links,
   4: string incarnation,
+  5: double capacity = 0,
 }
 
 struct DirectoryItem {
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -4,6 +4,7 @@
 
 import random
 
+import attrs
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -332,6 +333,15 @@
     assert selector.choose(vms, SHORTEST_SUSPECT_PERIOD + 0.05) == first
 
 
+def test_vm_with_the_most_capacity_reads_the_store_for_its_zone() -> None:
+    """The VM whose name sorts first may have the thinnest link."""
+    vms = [make_record('v1'), attrs.evolve(make_record('v2'), capacity=9)]
+    assert SourceSelector('v2', 'a').choose(vms, 0) == StoreSource()
+    found = SourceSelector('v1', 'a').choose(vms, 0)
+    assert isinstance(found, VmSource)
+    assert found.name == 'v2'
+
+
 def test_vm_refused_by_the_store_pulls_from_any_other() -> None:
     """A VM that cannot read the store pulls from a VM of another zone.
 
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -205,10 +205,13 @@
     ):
         text = text.replace(name, found)
     lines = [line.partition('}}')[2] for line in text.splitlines()]
-    bounds = [line.partition('{{')[0] for line in lines if line]
-    plain = [line for line in text.splitlines() if '{{' not in line]
+    rendered = [
+        optional.partition('{{')[0] or line
+        for line, optional in zip(text.splitlines(), lines, strict=True)
+    ]
     settings = parse_toml_settings(
-        '\n'.join(plain + bounds), 'x', read_direct_settings
+        '\n'.join(rendered), 'x', read_direct_settings
     )
-    assert tomllib.loads('\n'.join(plain))['vm']['name'] == 'front-1'
+    assert tomllib.loads('\n'.join(rendered))['vm']['name'] == 'front-1'
     assert settings.bounds == Bounds(7, 7, 7, 7, 7, 7, 7)
+    assert settings.capacity == 7 * 7 * 7
