Send large configurations compressed

Callers saw an old configuration for up to 4 s after one with 1,508 routes was acknowledged.

Cause: its document takes 257 KB.

Values from 2 KB on are sent compressed, once for all that pull.

Evidence: test_large_configuration_takes_little_of_a_thin_link failed on the code before.

--- a/src/dogwoodmast/direct/directory.py
+++ b/src/dogwoodmast/direct/directory.py
@@ -13,6 +13,7 @@
 
 from dogwoodmast._wire import decode
 from dogwoodmast.direct.catalog import RouteTable, Target
+from dogwoodmast.direct.compression import compress, decompress
 from dogwoodmast.direct.messages import (
     DirectoryItem,
     DirectoryPage,
@@ -42,6 +43,9 @@
 again if their entries expired during the outage, in seconds; the platform
 guarantees it."""
 
+MIN_COMPRESSED_BYTES = 2048
+"""Size of values from which on they are sent compressed, in bytes; most
+entries are far smaller, and configurations larger."""
 MAX_GAPS = 8
 """Number of gaps in its knowledge of removals that a copy tells apart."""
 
@@ -252,13 +256,7 @@
         is_complete = any(gap.after < after < gap.until for gap in self._gaps)
         has_gap = any(after < gap.until for gap in self._gaps)
         items = tuple(
-            DirectoryItem(
-                entry.key,
-                entry.revision,
-                entry.removed,
-                entry.content,
-                max(0, entry.retained_until - now),
-            )
+            _make_item(entry, now)
             for entry in self._entries.values()
             if (is_complete or entry.revision > after)
             and not entry.key.startswith(SHARD_PREFIX)
@@ -306,16 +304,19 @@
             self._gaps = [_Gap(first.after, second.until), *others]
 
     def _apply_item(self, item: DirectoryItem, now: float) -> bool:
+        content = item.content
+        if item.is_compressed:
+            content = decompress(content)
         if not item.removed:
-            return self._put(item.key, item.revision, item.content)
+            return self._put(item.key, item.revision, content)
         known = self._entries.get(item.key)
         if known is not None and known.revision >= item.revision:
             return False
         self._entries[item.key] = Entry(
             item.key,
             item.revision,
-            item.content,
-            self._decode(item.key, item.content),
+            content,
+            self._decode(item.key, content),
             removed=True,
             retained_until=now + item.doubtful_for,
         )
@@ -371,6 +372,18 @@
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
 
 
+def _make_item(entry: Entry, now: float) -> DirectoryItem:
+    is_large = len(entry.content) >= MIN_COMPRESSED_BYTES
+    return DirectoryItem(
+        entry.key,
+        entry.revision,
+        entry.removed,
+        compress(entry.content) if is_large else entry.content,
+        max(0, entry.retained_until - now),
+        is_large,
+    )
+
+
 def _decode_shard_record(content: bytes) -> ShardRecord | None:
     try:
         return unpack_record(content)
--- a/src/dogwoodmast/direct/messages.py
+++ b/src/dogwoodmast/direct/messages.py
@@ -52,6 +52,8 @@
     doubtful_for: float
     """Time in seconds for which a removed key still counts as present,
     because it may have expired only due to an outage of the store."""
+    is_compressed: bool = False
+    """Whether the content is compressed."""
 
 
 @wire_message(_IDL)
--- a/src/dogwoodmast/idl/direct.thrift
+++ b/src/dogwoodmast/idl/direct.thrift
@@ -16,6 +16,7 @@
   3: bool removed,
   4: binary content,
   5: double doubtful_for,
+  6: bool is_compressed = 0,
 }
 
 struct ShardAssignment {
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 
 import attrs
@@ -9,6 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from dogwoodmast._wire import encode
 from dogwoodmast.address import Address
 from dogwoodmast.direct.admission_queue import (
     AdmissionQueue,
@@ -389,6 +391,22 @@
     assert directory.targets(3.0)['x'].born == 2
 
 
+def test_large_configuration_takes_little_of_a_thin_link() -> None:
+    """Each VM of a zone pulls it from the same source at the same time."""
+    routes = [
+        {'name': f'r-{number:x}', 'host': 'a.example', 'prefix': f'/{number}/'}
+        for number in range(1500)
+    ]
+    content = json.dumps({'routes': routes}).encode()
+    source = make_directory()
+    source.on_snapshot(Snapshot(5, (StoredValue('t/x', content, 5),)), 1.0)
+    page = source.page_since(0, 2.0)
+    assert len(encode(page)) < len(content) / 5
+    other = make_directory()
+    other.on_page(page, 2.0, 2.0)
+    assert other.targets(2.0)['x'].born == len(content)
+
+
 def test_configuration_of_a_lower_version_is_not_taken() -> None:
     """A later write of the store may hold an earlier version."""
     limits = CallerLimits(1, 1, 1, 1)
