Do not take a long transfer for silence

While a page of 257 KB was on its way over a link of 10 Mbit/s, the link was given up for silence after 0.6 s, and the store's answer with the same document after 0.6 s too; both began again.

Cause: only whole frames and whole answers counted as signs of life. Each part counts now.

--- a/src/dogwoodmast/direct/json_client.py
+++ b/src/dogwoodmast/direct/json_client.py
@@ -25,6 +25,10 @@
 platform contract, and a connection that no longer responds must be detected
 before the coordinator's lease expires."""
 
+LONGEST_CALL_TIME = 5.0
+"""Time allowed for a whole call whose body keeps arriving, in seconds; a
+megabyte takes the thinnest links of the platform contract two."""
+
 
 class JsonClient:
     """Client for JSON calls to the store."""
@@ -61,7 +65,8 @@
         :param method: HTTP method.
         :param path: Path with query string.
         :param document: JSON document to send as the body, or ``None``.
-        :param timeout: Time allowed for the whole call, in seconds.
+        :param timeout: Time allowed for the head of the response, and again
+            for each part of its body, in seconds.
         :return: Status and body of the response.
         :raises PlatformUnavailable: If no connection could be opened, so that
             nothing was sent.
@@ -71,8 +76,10 @@
         self._calls += 1
         endpoint = str(self._address)
         try:
-            with anyio.fail_after(timeout):
-                return await self._exchange(method, path, document)
+            with anyio.fail_after(timeout) as scope:
+                return await self._exchange(
+                    self._build_request(method, path, document), scope
+                )
         except ConnectFailed:
             raise PlatformUnavailable(endpoint) from None
         except ExchangeAborted:
@@ -88,14 +95,17 @@
         await self._pool.aclose()
 
     async def _exchange(
-        self, method: str, path: str, document: object
+        self, request: OutgoingRequest, scope: anyio.CancelScope
     ) -> tuple[int, bytes]:
         connection = await self._pool.acquire()
+        time_limit = scope.deadline - anyio.current_time()
+        latest = anyio.current_time() + LONGEST_CALL_TIME
+        chunks = []
         try:
-            head = await connection.send_request(
-                self._build_request(method, path, document)
-            )
-            chunks = [chunk async for chunk in connection.read_body()]
+            head = await connection.send_request(request)
+            async for chunk in connection.read_body():
+                scope.deadline = min(anyio.current_time() + time_limit, latest)
+                chunks.append(chunk)
         finally:
             await self._pool.release(connection)
         return head.status, b''.join(chunks)
--- a/src/dogwoodmast/link.py
+++ b/src/dogwoodmast/link.py
@@ -237,16 +237,26 @@
     async def _read(self) -> None:
         while not self._closed:
             frame = await self._read_frame()
-            now = anyio.current_time()
-            self._silent_since = now if self._calls else None
+            self._note_life()
             self._traffic.on_received(frame.kind, len(frame.payload))
             message = decode(frame.kind, frame.payload)
             self._route(frame.correlation, message)
 
     async def _read_frame(self) -> Frame:
         prefix = await self._reader.receive_exactly(LENGTH_BYTES)
-        length = unpack_length(prefix)
-        return unpack_frame(await self._reader.receive_exactly(length))
+        remaining = unpack_length(prefix)
+        chunks = []
+        while remaining:
+            chunk = await self._reader.receive(remaining)
+            # A long frame on a thin link is a sign of life before its end.
+            self._note_life()
+            chunks.append(chunk)
+            remaining -= len(chunk)
+        return unpack_frame(b''.join(chunks))
+
+    def _note_life(self) -> None:
+        now = anyio.current_time()
+        self._silent_since = now if self._calls else None
 
     def _route(self, number: int, message: Any) -> None:
         match message:
--- a/tests/test_json_client.py
+++ b/tests/test_json_client.py
@@ -19,6 +19,29 @@
 """Number of calls made at once, and so of idle connections afterwards."""
 
 
+async def test_large_body_on_a_thin_link_is_not_given_up() -> None:
+    """The body takes longer than the time limit, but keeps arriving."""
+
+    async def accept(stream: anyio.abc.SocketStream) -> None:
+        await stream.receive()
+        await stream.send(b'HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\n')
+        for _ in range(6):
+            await anyio.sleep(0.1)
+            await stream.send(b'x')
+
+    address = free_address()
+    client = JsonClient(address, SystemClock())
+    listener = await anyio.create_tcp_listener(
+        local_host=address.host, local_port=address.port
+    )
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, accept)
+        status, body = await client.call('GET', '/', timeout=0.3)
+        await client.aclose()
+        tasks.cancel_scope.cancel()
+    assert (status, body) == (200, b'xxxxxx')
+
+
 async def test_one_call_is_lost_although_all_idle_connections_are_silent() -> (
     None
 ):
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -209,6 +209,29 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_long_frame_on_a_thin_link_is_not_taken_for_silence() -> None:
+    """The frame takes longer than the link's time limit to arrive."""
+
+    async def accept(stream: anyio.abc.SocketStream) -> None:
+        await stream.receive()
+        frame = pack_frame(ForwardAnswer(200, (), b'x' * 6000), -1)
+        for start in range(0, len(frame), 1000):
+            await stream.send(frame[start : start + 1000])
+            await anyio.sleep(LIVENESS_TIMEOUT / 3)
+
+    address = free_addresses(1)[0]
+    listener = await anyio.create_tcp_listener(
+        local_host=address.host, local_port=address.port
+    )
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, accept)
+        async with LinkPool(HELLO, answer_after_delay) as pool:
+            answer = await pool.call(address, make_forward('long'))
+        tasks.cancel_scope.cancel()
+    assert isinstance(answer, ForwardAnswer)
+    assert len(answer.body) == 6000
+
+
 async def test_idle_link_stays_open_after_a_call_that_was_given_up() -> None:
     """A peer that answers pings keeps its link."""
     async with (
