Keep handling signals until a stopping process has ended

Cause: the signal handlers were removed as soon as SIGTERM arrived, so that SIGHUP, or SIGTERM again, ended the process at once. front-almadies-14 got SIGTERM at 26.517 s and closed its connections at 26.988 s, long before its stop time.

The handlers now stay until the end, and are there before anything is started.

--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import secrets
 import signal
 from contextlib import AsyncExitStack
@@ -34,7 +33,10 @@
 from dogwoodmast.direct.vm_registration import VmRegistration
 from dogwoodmast.events import Event, log_event
 from dogwoodmast.frames import PROTOCOL_VERSION, Hello
-from dogwoodmast.http_server import make_http_server
+from dogwoodmast.http_server import (
+    isolate_uvicorn_logger,
+    make_http_server,
+)
 from dogwoodmast.input_errors import InvalidInput
 from dogwoodmast.link_pool import LinkPool, serve_links
 from dogwoodmast.message_handlers import MessageHandlers
@@ -43,9 +45,12 @@
 
 if TYPE_CHECKING:
     import pathlib
+    from collections.abc import AsyncIterator
 
     from anyio.abc import TaskGroup
 
+WATCHED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+"""Signals that stop the process or reload its settings."""
 REFRESH_INTERVAL = 0.5
 """Longest time between two updates of the targets, in seconds.  Store entries
 that expired during an outage are kept for a grace period, and its end gives
@@ -125,24 +130,30 @@
 
     async def run(self) -> None:
         """Serve until ``SIGTERM`` or ``SIGINT``, then stop gracefully."""
-        _isolate_uvicorn_logger()
+        isolate_uvicorn_logger()
         async with AsyncExitStack() as stack:
+            # Open until the end: by default, SIGHUP ends a process at once.
+            signals = stack.enter_context(
+                anyio.open_signal_receiver(*WATCHED_SIGNALS)
+            )
             stack.push_async_callback(self._store.aclose)
             tasks = await stack.enter_async_context(anyio.create_task_group())
             stack.callback(tasks.cancel_scope.cancel)
             await stack.enter_async_context(self._links)
             stack.push_async_callback(self._targets.aclose)
-            await self._serve(tasks)
+            await self._serve(tasks, signals)
         log_event(Event.VM_STOPPED, vm=self._record.name)
 
-    async def _serve(self, tasks: TaskGroup) -> None:
+    async def _serve(
+        self, tasks: TaskGroup, signals: AsyncIterator[signal.Signals]
+    ) -> None:
         coordinator = self._make_coordinator()
         registration = VmRegistration(self._record, self._store)
         await self._start(tasks, coordinator, registration)
         log_event(
             Event.VM_STARTED, vm=self._record.name, zone=self._record.zone
         )
-        await self._await_stop()
+        await self._await_stop(signals)
         log_event(Event.VM_STOPPING, vm=self._record.name)
         await self._stop(tasks, coordinator, registration)
 
@@ -298,13 +309,11 @@
         table = self._directory.route_table
         return table.version if table else 0
 
-    async def _await_stop(self) -> None:
-        watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with anyio.open_signal_receiver(*watched) as signals:
-            async for number in signals:
-                if number != signal.SIGHUP:
-                    break
-                self._reload()
+    async def _await_stop(self, signals: AsyncIterator[signal.Signals]) -> None:
+        async for number in signals:
+            if number != signal.SIGHUP:
+                break
+            self._reload()
 
     def _reload(self) -> None:
         try:
@@ -341,9 +350,3 @@
             await self._gateway.await_idle()
             # Lets the last responses leave the sockets' buffers.
             await anyio.sleep(FLUSH_DELAY)
-
-
-def _isolate_uvicorn_logger() -> None:
-    """Keep log lines of uvicorn out of the structured log."""
-    logging.getLogger('uvicorn').addHandler(logging.NullHandler())
-    logging.getLogger('uvicorn').propagate = False
--- a/src/dogwoodmast/http_server.py
+++ b/src/dogwoodmast/http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
@@ -58,6 +59,12 @@
         yield
 
 
+def isolate_uvicorn_logger() -> None:
+    """Keep log lines of uvicorn out of the structured log."""
+    logging.getLogger('uvicorn').addHandler(logging.NullHandler())
+    logging.getLogger('uvicorn').propagate = False
+
+
 def make_http_server(
     application: Application,
     address: Address,
