Wait at a stop until the last responses have left the connections' buffers

What callers would see: a response that ends in the middle while a VM stops.

An application has ended as soon as its response is in a buffer of the connection; a caller that reads slowly, or a thin link, needs longer. The stop now waits until the server has closed its connections, within the stop time.

--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -348,5 +348,6 @@
         self._server.request_shutdown()
         with anyio.move_on_after(stop_time - DEREGISTRATION_DELAY):
             await self._gateway.await_idle()
+            await self._server.await_closed()
             # Lets the last responses leave the sockets' buffers.
             await anyio.sleep(FLUSH_DELAY)
--- a/src/dogwoodmast/http_server.py
+++ b/src/dogwoodmast/http_server.py
@@ -10,6 +10,7 @@
 import uvicorn
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Awaitable, Callable, Iterator
 
     from dogwoodmast._asgi import Receive, Scope, Send
@@ -37,6 +38,7 @@
         """
         super().__init__(config)
         self._shutdown_requested = anyio.Event()
+        self._closed = anyio.Event()
 
     async def main_loop(self) -> None:
         """Wait for :meth:`request_shutdown`.
@@ -53,6 +55,22 @@
         self.should_exit = True
         self._shutdown_requested.set()
 
+    async def await_closed(self) -> None:
+        """Wait until all responses have been sent and connections closed.
+
+        An application has ended before the last bytes of its response have
+        left the buffer of the connection.
+        """
+        await self._closed.wait()
+
+    async def serve(self, sockets: list[socket.socket] | None = None) -> None:
+        """Serve until a shutdown is requested and all connections are closed.
+
+        :param sockets: Listening sockets, by default one for the address.
+        """
+        await super().serve(sockets)
+        self._closed.set()
+
     @contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Install no signal handlers, unlike uvicorn's own method."""
