Let the soak reload settings during a stop, and choose the number of VMs

A second signal to a VM was left out while a fault of that VM was active, which is why no seed found that SIGHUP during a stop ends the process. Stops must end with status 0 now. DOGWOODMAST_SOAK_VMS sets the number of VMs for large runs by hand; faults and callers grow with it.

--- a/tests/soak_environment.py
+++ b/tests/soak_environment.py
@@ -46,7 +46,7 @@
     from anyio.abc import TaskGroup
 
 
-CALLER_COUNT = 6
+CALLER_COUNT = 2 * VM_COUNT
 """Number of concurrent callers."""
 ADDRESS_COUNT = 2 * (SHARDED_TARGETS + UNSHARDED_TARGETS) + 5 * VM_COUNT
 """Number of addresses of targets, their proxies, the VMs' listeners and the
@@ -62,6 +62,9 @@
 requests, in seconds."""
 LISTING_EXPIRY_TIME = 1.0
 """Time after a crash at which the target's listing is removed, in seconds."""
+INTERPRETER_TIME = 3.0
+"""Time after the start of a process in which SIGHUP may end it, since the
+interpreter is still loading, in seconds."""
 LOG_TAIL_LINES = 20
 """Number of log lines shown for a process that exited by itself."""
 SETTINGS = """
@@ -93,6 +96,10 @@
     """Server of the store that only this VM uses."""
     process: Process | None = None
     """Current process, or ``None`` before the first start."""
+    started_at: float = 0
+    """Monotonic time in seconds of its latest start."""
+    unclean_stops: list[Violation] = attrs.field(factory=list)
+    """Stops that did not end with status 0."""
 
     async def start(self) -> None:
         """Start a new process."""
@@ -103,6 +110,7 @@
                 stderr=log,
                 env=dict(os.environ),
             )
+        self.started_at = time.monotonic()
 
     async def stop(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process and wait until it has exited.
@@ -113,7 +121,17 @@
             return
         self.process.send_signal(signal_number)
         with anyio.CancelScope(shield=True):
-            await self.process.wait()
+            status = await self.process.wait()
+        if status and signal_number is not signal.SIGKILL:
+            detail = f'{self.name} exited with {status}'
+            self.unclean_stops.append(Violation('stops cleanly', detail))
+
+    def reload(self) -> None:
+        """Tell the process to reload its settings."""
+        assert self.process is not None
+        can_handle = time.monotonic() >= self.started_at + INTERPRETER_TIME
+        if can_handle and self.process.returncode is None:
+            self.process.send_signal(signal.SIGHUP)
 
     def check_running(self) -> list[Violation]:
         """Check that the process has not exited by itself.
@@ -121,11 +139,11 @@
         :return: A violation with the end of the log if it has.
         """
         if self.process is None or self.process.returncode is None:
-            return []
+            return list(self.unclean_stops)
         lines = self.settings.with_suffix('.log').read_text().splitlines()
         status = self.process.returncode
         detail = f'{self.name} exited with {status}: {lines[-LOG_TAIL_LINES:]}'
-        return [Violation('keeps running', detail)]
+        return [*self.unclean_stops, Violation('keeps running', detail)]
 
 
 @attrs.define(eq=False)
@@ -221,13 +239,20 @@
     ) -> None:
         """Inject a fault at its time and end it after its duration.
 
-        It is skipped if a fault of the same subject is active.
+        It is skipped if a fault of the same subject is active, except for
+        reloads.
 
         :param scheduled: Fault with its time.
         :param callers: Callers, which are told of a new configuration.
         """
         await anyio.sleep(scheduled.start)
         subject = _subject(scheduled)
+        injection = scheduled.injection
+        if isinstance(injection, VmInjection) and (
+            injection.fault is VmFault.RELOAD
+        ):
+            self.vms[injection.vm].reload()
+            return
         if subject in self.active_subjects:
             return
         self.active_subjects.add(subject)
@@ -270,8 +295,6 @@
                 vm.process.send_signal(signal.SIGSTOP)
                 await anyio.sleep(duration)
                 vm.process.send_signal(signal.SIGCONT)
-            case VmFault.RELOAD:
-                vm.process.send_signal(signal.SIGHUP)
 
     async def _inject_target_fault(
         self, target: SoakTarget, fault: SoakTargetFault, duration: float
--- a/tests/soak_plan.py
+++ b/tests/soak_plan.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import os
 
 import attrs
 from hypothesis import strategies as st
@@ -10,8 +11,8 @@
 from faulty_path import PathState
 from metadata_store import StoreFault
 
-VM_COUNT = 3
-"""Number of entry VMs."""
+VM_COUNT = int(os.environ.get('DOGWOODMAST_SOAK_VMS', '3'))
+"""Number of entry VMs; large runs by hand set the variable."""
 SHARDED_TARGETS = 4
 """Number of targets that hold keys."""
 UNSHARDED_TARGETS = 3
@@ -21,7 +22,7 @@
 MAX_DURATION = 5.0
 """Longest duration of a fault, in seconds; the platform's outages usually last
 no longer."""
-MAX_FAULTS = 6
+MAX_FAULTS = 2 * VM_COUNT
 """Maximum number of faults in a plan."""
 
 
@@ -35,7 +36,7 @@
     FREEZE = 'freeze'
     """It is suspended for the duration."""
     RELOAD = 'reload'
-    """It is told by SIGHUP to reload its settings."""
+    """It is told by SIGHUP to reload its settings, also while it stops."""
 
 
 class SoakTargetFault(enum.Enum):
