Keep stored shard records and the task of the synchronisation in odd cases

Found by reading the changes before: a complete page, which leaves shard records out, removed them from the receiving VM's copy; a malformed page, or a registration with an invalid address, ended the task that keeps the copy.

Evidence: test_complete_page_does_not_remove_stored_shard_records and test_registration_with_an_invalid_address_names_no_vm failed on the code before; the handling of a malformed page has no test.

--- a/src/dogwoodmast/direct/coordinator.py
+++ b/src/dogwoodmast/direct/coordinator.py
@@ -43,8 +43,7 @@
 later VMs see a new coordinator before they campaign."""
 MAX_DIRECTORY_AGE = 2.0
 """Maximum age of the copy of the store for deciding whether the role is
-vacant, in seconds; without changes a read waits one second, and the next
-starts 0.4 s later, so a copy that is kept up to date stays below it."""
+vacant, in seconds; copies that are kept up to date stay below it."""
 HOLD_FRACTION = 0.6
 """Fraction of the longest permitted hold for which keys are granted.  A short
 hold frees the keys of an unresponsive target sooner; this one still carries
--- a/src/dogwoodmast/direct/directory.py
+++ b/src/dogwoodmast/direct/directory.py
@@ -12,6 +12,7 @@
 import attrs
 
 from dogwoodmast._wire import decode
+from dogwoodmast.address import Address, InvalidAddress
 from dogwoodmast.direct.catalog import RouteTable, Target
 from dogwoodmast.direct.compression import compress, decompress
 from dogwoodmast.direct.messages import (
@@ -294,7 +295,8 @@
         return [
             key
             for key in tuple(self._entries)
-            if key not in listed and self._remove(key, page.revision, now)
+            if not (key in listed or key.startswith(SHARD_PREFIX))
+            and self._remove(key, page.revision, now)
         ]
 
     def _add_gap(self, gap: _Gap) -> None:
@@ -393,6 +395,9 @@
 
 def _decode_router_record(type_name: str, content: bytes) -> object | None:
     try:
-        return decode(type_name, content)
-    except MalformedFrame:
+        record = decode(type_name, content)
+        if isinstance(record, VmRecord):
+            Address.parse(record.links)
+    except (MalformedFrame, InvalidAddress):
         return None
+    return record
--- a/src/dogwoodmast/direct/directory_sync.py
+++ b/src/dogwoodmast/direct/directory_sync.py
@@ -28,7 +28,12 @@
     StoreSource,
     VmSource,
 )
-from dogwoodmast.errors import HistoryLost, LinkError, PlatformError
+from dogwoodmast.errors import (
+    HistoryLost,
+    LinkError,
+    MalformedFrame,
+    PlatformError,
+)
 from dogwoodmast.events import Event, log_event
 from dogwoodmast.key_value import PolledStore
 from dogwoodmast.link_pool import LinkPool
@@ -68,7 +73,10 @@
 
 
 class DirectorySync:
-    """Task that keeps the copy of the store up to date."""
+    """Task that keeps the copy of the store up to date.
+
+    Its attribute ``source_changes`` counts the changes of the source.
+    """
 
     def __init__(
         self,
@@ -82,6 +90,7 @@
         :param dependencies: Components of the local entry VM.
         :param timing: Intervals and limits.
         """
+        self.source_changes = 0
         self._timing = timing
         self._selector = selector
         self._directory = dependencies.directory
@@ -93,7 +102,6 @@
         self._store_failures = 0
         self._store_read_at = float('-inf')
         self._source: Source | None = None
-        self._source_changes = 0
         self._last_failure = 'start'
         self._version_in_force = 0
 
@@ -108,11 +116,6 @@
         age = self._clock.monotonic() - self._store_read_at
         return age <= self._timing.max_source_age
 
-    @property
-    def source_changes(self) -> int:
-        """Number of changes of the source so far."""
-        return self._source_changes
-
     def subscribe(self, listener: Callable[[list[str]], None]) -> None:
         """Add a listener for changes of the copy.
 
@@ -161,7 +164,7 @@
             age=round(self._directory.age(now), 3),
         )
         self._source = source
-        self._source_changes += 1
+        self.source_changes += 1
         self._last_failure = 'an earlier source is tried again'
 
     async def _on_pull(self, _link: Link, message: DirectoryPull) -> object:
@@ -230,11 +233,12 @@
         if page is None:
             await self._on_pull_failure(source, received_at)
             return
-        self._notify(self._directory.on_page(page, now, received_at))
-        for update in page.updates:
-            self._view.on_update(update)
-        for image in page.images:
-            self._view.on_image(image)
+        try:
+            self._apply(page, now, received_at)
+        except MalformedFrame as error:
+            self._log_pull_failure(source, error.message)
+            await self._on_pull_failure(source, received_at)
+            return
         if self._is_acceptable(page, received_at):
             self._selector.on_success(source)
             await anyio.sleep(
@@ -243,6 +247,15 @@
         else:
             await self._on_pull_failure(source, received_at)
 
+    def _apply(
+        self, page: DirectoryPage, requested_at: float, now: float
+    ) -> None:
+        for update in page.updates:
+            self._view.on_update(update)
+        for image in page.images:
+            self._view.on_image(image)
+        self._notify(self._directory.on_page(page, requested_at, now))
+
     async def _on_pull_failure(self, source: VmSource, now: float) -> None:
         self._selector.on_failure(source, now)
         if self._selector.is_store_suspect(now):
@@ -282,11 +295,14 @@
                 answer = await self._links.call(source.address, request)
         except (LinkError, TimeoutError) as error:
             reason = str(error) or type(error).__name__
-            self._last_failure = reason
-            log_event(Event.PULL_FAILED, peer=source.name, reason=reason)
+            self._log_pull_failure(source, reason)
             return None
         return answer if isinstance(answer, DirectoryPage) else None
 
+    def _log_pull_failure(self, source: VmSource, reason: str) -> None:
+        self._last_failure = reason
+        log_event(Event.PULL_FAILED, peer=source.name, reason=reason)
+
     def _notify(self, changed: list[str]) -> None:
         if not changed:
             return
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -25,9 +25,15 @@
     WeightedService,
     pick_service,
 )
-from dogwoodmast.direct.directory import Directory
-from dogwoodmast.direct.messages import ShardAssignment, ShardUpdate, VmRecord
+from dogwoodmast.direct.directory import SHARD_PREFIX, VM_PREFIX, Directory
+from dogwoodmast.direct.messages import (
+    ShardAssignment,
+    ShardRecord,
+    ShardUpdate,
+    VmRecord,
+)
 from dogwoodmast.direct.retry_budget import BUDGET_SHARE, RetryBudget
+from dogwoodmast.direct.shard_record import pack_record
 from dogwoodmast.direct.shard_table import ShardTable
 from dogwoodmast.direct.source_selector import (
     SHORTEST_SUSPECT_PERIOD,
@@ -470,6 +476,27 @@
     assert other.revision == 9
 
 
+def test_complete_page_does_not_remove_stored_shard_records() -> None:
+    """Pages leave out these records, which does not mean they are removed."""
+    record = pack_record(ShardRecord('s', 3, 1, ()))
+    stored = StoredValue(f'{SHARD_PREFIX}s', record, 6)
+    source = make_directory()
+    source.on_snapshot(Snapshot(9, (stored,)), 2.0)
+    other = make_directory()
+    other.on_snapshot(Snapshot(7, (stored,)), 1.5)
+    other.on_page(source.page_since(7, 3.0), 3.0, 3.0)
+    assert [one.epoch for one in other.shard_records()] == [3]
+
+
+def test_registration_with_an_invalid_address_names_no_vm() -> None:
+    """Its address would end the task that chooses a source."""
+    directory = make_directory()
+    content = encode(VmRecord('v1', 'a', 'nowhere', 'i'))
+    stored = StoredValue(f'{VM_PREFIX}v1', content, 4)
+    directory.on_snapshot(Snapshot(5, (stored,)), 1.0)
+    assert not directory.vms()
+
+
 def test_removal_is_pulled_through_a_vm_that_pulled_itself() -> None:
     """A VM passes on that its own source may have missed a key."""
     source = make_directory()
