Log the rate limits that targets name, and what each VM sends to these targets

Response headers are decoded to a statement on the limit, which each VM keeps by target incarnation. A statement was made between the sending of a request and the arrival of its response, so a delayed response does not raise or end a limit; a value that is no rate counts as no statement. No decision uses it yet.

--- a/src/dogwoodmast/direct/attempt.py
+++ b/src/dogwoodmast/direct/attempt.py
@@ -22,6 +22,7 @@
     ResponseTruncated,
 )
 from dogwoodmast.direct.connection_pool import ConnectionPool
+from dogwoodmast.direct.named_limits import NamedLimits
 from dogwoodmast.direct.target_connection import (
     OutgoingRequest,
     ResponseHead,
@@ -75,6 +76,7 @@
     _pool: ConnectionPool
     _clock: Clock
     _deliver: Deliver
+    _limits: NamedLimits
 
     async def run(self) -> AttemptOutcome:
         """Send the request and forward the response to the caller.
@@ -96,6 +98,8 @@
                 return Broken(error.cause)
 
     async def _exchange(self, connection: TargetConnection) -> AttemptOutcome:
+        sent_at = self._clock.monotonic()
+        self._limits.on_sent(self.limiter.target.key)
         try:
             head = await connection.send_request(self._build_request())
         except ExchangeAborted as error:
@@ -104,6 +108,7 @@
         mismatch = self._find_mismatch(fields)
         if mismatch is not None:
             return mismatch
+        self._record_limit(fields, sent_at)
         chunks = connection.read_body()
         body, rest = await _buffer_body(chunks)
         if fields.not_run or head.status == HTTPStatus.MISDIRECTED_REQUEST:
@@ -117,6 +122,14 @@
             raise ResponseTruncated(error.message) from error
         return Delivered(head.status, len(body))
 
+    def _record_limit(self, fields: ResponseFields, sent_at: float) -> None:
+        self._limits.on_response(
+            self.limiter.target.key,
+            fields.limit,
+            sent_at,
+            self._clock.monotonic(),
+        )
+
     async def _has_crashed(self) -> bool:
         """Tell whether the target's host refuses connections.
 
--- a/src/dogwoodmast/direct/catalog.py
+++ b/src/dogwoodmast/direct/catalog.py
@@ -122,6 +122,10 @@
         return None
 
 
+TargetKey = tuple[str, int]
+"""Name and ``born`` of a target, which identify its incarnation."""
+
+
 @attrs.frozen
 class Target:
     """One incarnation of a backend server that runs requests of a service."""
@@ -142,6 +146,11 @@
     """Start time of the process in Unix milliseconds, or 0 if the listing has
     none; together with the name it identifies the incarnation."""
 
+    @property
+    def key(self) -> TargetKey:
+        """Name and ``born``, which identify the incarnation."""
+        return self.name, self.born
+
 
 CatalogItem = RouteTable | Target
 
--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -218,6 +218,7 @@
             coordinator,
             notifier,
             self._monitor,
+            self._dispatcher.limits,
         ):
             tasks.start_soon(task.run)
         tasks.start_soon(self._refresh, tasks)
@@ -246,6 +247,9 @@
                 vm_count = max(1, len(self._directory.vms()))
                 self._dispatcher.vm_count = vm_count
                 self._targets.update(targets, table, vm_count, tasks)
+                self._dispatcher.limits.retain(
+                    [one.key for one in targets.values()]
+                )
                 self._server.config.timeout_keep_alive = int(
                     table.limits.idle_time
                 )
@@ -277,6 +281,11 @@
         metrics.add_gauge(
             'running', 'Requests being served.', lambda: self._gateway.running
         )
+        metrics.add_gauge(
+            'limited_targets',
+            'Targets that name a rate limit.',
+            lambda: len(self._dispatcher.limits.rates),
+        )
         metrics.add_gauge(
             'store_calls',
             'Calls to the store so far.',
--- a/src/dogwoodmast/direct/dispatcher.py
+++ b/src/dogwoodmast/direct/dispatcher.py
@@ -25,6 +25,7 @@
     Refused,
     Rejected,
 )
+from dogwoodmast.direct.named_limits import NamedLimits
 from dogwoodmast.direct.retry_budget import RetryBudget
 from dogwoodmast.direct.settings import Bounds
 from dogwoodmast.direct.shard_view import ShardView
@@ -83,6 +84,8 @@
     the limits that were in force at the first request for the service."""
     quarantine: Quarantine = attrs.field(factory=Quarantine)
     """Fingerprints of requests that are rejected since they crash targets."""
+    limits: NamedLimits = attrs.field(factory=NamedLimits)
+    """Rate limits that targets name."""
     vm_count: int = 1
     """Number of entry VMs that are up; they share the retry budget."""
     _random: random.Random = attrs.field(factory=random.Random)
@@ -168,7 +171,9 @@
         pool = self._targets.pool(limiter)
         if pool is None:
             return Refused('target is leaving or gone', was_sent=False)
-        exchange = Exchange(progress.call, limiter, pool, self._clock, deliver)
+        exchange = Exchange(
+            progress.call, limiter, pool, self._clock, deliver, self.limits
+        )
         # If the deadline cancels the exchange, the request may have run.
         progress.last_outcome = Broken('no response before the deadline')
         return await exchange.run()
--- a/src/dogwoodmast/platform/headers.py
+++ b/src/dogwoodmast/platform/headers.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 import attrs
 
+from dogwoodmast.direct.limit_statement import (
+    LimitStatement,
+    RateLimit,
+    Unlimited,
+    UnreadableLimit,
+)
+
 if TYPE_CHECKING:
     from dogwoodmast._asgi import RawHeaders
 
@@ -16,6 +24,7 @@
 _NOT_RUN = b'not-executed'
 _SEAL = b'response-seal'
 _HANDOVER = b'handover'
+_RATE_LIMIT = b'server-limit'
 
 REPLACED_HEADERS = frozenset((_REMAINING_TIME, _EXPECTED_TARGET))
 """Headers of the caller's request that the entry VM replaces with its own."""
@@ -23,6 +32,8 @@
 """Greatest shard key; the smallest is 0."""
 
 _MS_PER_SECOND = 1000.0
+_DECIMAL = re.compile(rb'\d{1,9}(\.\d{0,9})?|\.\d{1,9}')
+"""Decimal number that is not negative and not too long to be a rate."""
 
 
 @attrs.frozen
@@ -50,6 +61,8 @@
     target and not from an intermediary."""
     handover: str
     """State token of released keys, empty if there is none."""
+    limit: LimitStatement
+    """Rate of requests that the target takes from all entry VMs together."""
 
 
 def parse_request_headers(headers: RawHeaders) -> RequestFields:
@@ -82,6 +95,7 @@
         not_run=_NOT_RUN in by_name,
         sealed=_SEAL in by_name,
         handover=by_name.get(_HANDOVER, b'').decode('latin-1'),
+        limit=_parse_limit(by_name.get(_RATE_LIMIT)),
     )
 
 
@@ -107,3 +121,11 @@
     if text is None or not text.isdigit():
         return None
     return int(text)
+
+
+def _parse_limit(text: bytes | None) -> LimitStatement:
+    if text is None:
+        return Unlimited()
+    if not _DECIMAL.fullmatch(text):
+        return UnreadableLimit()
+    return RateLimit(float(text))
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -31,6 +31,7 @@
     'expected-instance',
     'not-executed',
     'response-seal',
+    'server-limit',
     '/api/grant',
     'kv-txn',
     'op/config',
