--- a/tests/platform_target.py
+++ b/tests/platform_target.py
@@ -58,6 +58,10 @@
     """Number of requests that are running."""
     max_running: int = 0
     """Largest number of requests that ran at a time."""
+    limit: str = ''
+    """Rate limit that the target names in its responses; empty for none."""
+    arrivals: list[float] = attrs.field(factory=list)
+    """Monotonic time in seconds of each request that arrived."""
     last_headers: dict[str, str] = attrs.field(factory=dict)
     """Headers and path of the latest request that was started."""
 
@@ -126,6 +130,7 @@
         send: Send,
     ) -> None:
         key = headers.get('shard-key')
+        self.arrivals.append(time.monotonic())
         if self.fault is TargetFault.FULL:
             await self._respond(send, headers, 503, not_run=True)
             return
@@ -176,6 +181,8 @@
             headers.append((b'not-executed', b'1'))
         else:
             headers.append((b'response-seal', b'sealed'))
+        if self.limit:
+            headers.append((b'server-limit', self.limit.encode()))
         if self.fault is TargetFault.CUT:
             await send(
                 {
--- /dev/null
+++ b/tests/test_target_limit.py
@@ -0,0 +1,101 @@
+"""Rate limits of targets, over real sockets."""
+
+from __future__ import annotations
+
+import time
+
+import anyio
+import attrs
+import httpcore
+import orjson
+import pytest
+
+from direct_fleet import DirectFleet, direct_fleet
+from platform_target import PlatformTarget
+
+pytestmark = pytest.mark.anyio
+
+LIMIT = 5.0
+"""Rate that targets name, in requests per second."""
+DEMAND = 20.0
+"""Rate of the callers, in requests per second."""
+WINDOW = 4.0
+"""Length of the windows in which the platform counts, in seconds."""
+WINDOW_BOUND = 1.5 * LIMIT * WINDOW + 5
+"""Requests that the platform allows in a window."""
+VMS = 3
+"""Number of entry VMs."""
+LEAD_TIME = 4.0
+"""Time from the start of the VMs until targets name limits, in seconds."""
+TEST_TIME = 6.0
+"""Time for which requests are sent, in seconds."""
+
+
+@attrs.frozen
+class Answer:
+    """Response to a caller, and how long it took."""
+
+    response: httpcore.Response
+    """Response."""
+    seconds: float
+    """Time from sending to the complete response, in seconds."""
+
+    @property
+    def outcome(self) -> str:
+        """Outcome that a problem tells, empty for a target's response."""
+        if self.response.status == 200:
+            return ''
+        return str(orjson.loads(self.response.content)['outcome'])
+
+
+async def send_steadily(
+    fleet: DirectFleet, path: str, key: int | None
+) -> list[Answer]:
+    """Send requests to all VMs in turn at the rate ``DEMAND``.
+
+    :param fleet: Fleet to send to.
+    :param path: Path of the requests.
+    :param key: Shard key, or ``None`` to send none.
+    :return: All responses.
+    """
+    answers: list[Answer] = []
+
+    async def send_one(vm: int) -> None:
+        began = time.monotonic()
+        response = await fleet.send_request(path, key=key, vm=vm)
+        answers.append(Answer(response, time.monotonic() - began))
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(int(TEST_TIME * DEMAND)):
+            tasks.start_soon(send_one, number % VMS)
+            await anyio.sleep(1 / DEMAND)
+    return answers
+
+
+def busiest_window(arrivals: list[float]) -> int:
+    """Count the requests of the busiest window.
+
+    :param arrivals: Times in seconds, in order.
+    :return: Largest number of requests in any window.
+    """
+    return max(
+        sum(start <= at < start + WINDOW for at in arrivals)
+        for start in arrivals
+    )
+
+
+@pytest.mark.parametrize(
+    ('path', 'key'), [('/balance/x', 7), ('/payment/x', None)]
+)
+async def test_sum_of_all_vms_does_not_exceed_the_limit_of_a_target(
+    path: str, key: int | None
+) -> None:
+    """Each VM kept on sending as before when a target named its limit."""
+    target = PlatformTarget('s0', sharded=key is not None)
+    async with direct_fleet(target, vms=VMS) as fleet:
+        await fleet.wait_until_ready()
+        await anyio.sleep(LEAD_TIME)
+        target.limit = str(LIMIT)
+        target.arrivals.clear()
+        await send_steadily(fleet, path, key)
+    assert busiest_window(target.arrivals) <= WINDOW_BOUND
