Keep the rate limit that a target names by permits from one VM

Callers saw nothing, but a target in need that named 4.9 requests a second got 51 in 4 s from VMs that it had told; 34 were allowed. Such a target falls over next.

Cause: no VM acted on the limit. The record shows the same arrivals before and after a limit was named (14.0 and 13.7 a second), and no refusal. The class: a rate for all VMs together was not shared by them; a limit of its own for each VM, as for concurrency, would be exceeded by their number.

A request without a permit is rejected at once as not run, with a Retry-After spread by the rate; urgent requests come first; requests without a key go to other targets, and the coordinator moves keys away.

Ruled out as causes by the record: that VMs reduce their own rates and the sum stays too high (arrivals did not drop), and that moved keys alone explain it.

--- a/src/dogwoodmast/direct/admission_queue.py
+++ b/src/dogwoodmast/direct/admission_queue.py
@@ -10,12 +10,16 @@
 
 import heapq
 import itertools
+from typing import TYPE_CHECKING
 
 import anyio
 import attrs
 
 from dogwoodmast.direct.target_limiter import TargetLimiter
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 MIN_RETRY_DELAY = 0.05
 """Shortest ``Retry-After`` of a rejected request, before the jitter, in
 seconds; a retry takes longer than that to pass the load balancer."""
@@ -51,6 +55,18 @@
     """Whether the request has left the queue.  Its heap entry may still
     exist; entries are removed lazily."""
 
+    def may_use(self, limiter: TargetLimiter, now: float) -> bool:
+        """Tell whether the request may be sent to a target.
+
+        :param limiter: Limiter of the target.
+        :param now: Monotonic time, in seconds.
+        :return: Whether it has not tried the target, and the target's rate
+            limit is not used up for its priority.
+        """
+        return limiter.target.name not in self.tried and not limiter.is_paused(
+            self.priority, now
+        )
+
     def admit(self, limiter: TargetLimiter) -> None:
         """Occupy a slot at a target and wake the waiting task.
 
@@ -118,19 +134,39 @@
         self._heap.clear()
         self._length = 0
 
-    def admit_waiters(self, limiter: TargetLimiter) -> None:
+    def admit_waiters(self, limiter: TargetLimiter, now: float) -> None:
         """Admit requests to a target until it is full or none may use it.
 
         :param limiter: Limiter of the target.
+        :param now: Monotonic time, in seconds.
         """
         was_admitted = True
         while was_admitted and self._length and limiter.has_capacity:
-            was_admitted = self.admit_next(limiter)
+            was_admitted = self.admit_next(limiter, now)
+
+    def wake_refused(
+        self, limiters: Iterable[TargetLimiter], now: float
+    ) -> None:
+        """Wake the requests for which the rate limit of each target is used up.
+
+        They have to look for candidates again, and are then rejected.
+
+        :param limiters: Limiters of all targets that the queue is for.
+        :param now: Monotonic time, in seconds.
+        """
+        listed = tuple(limiters)
+        for _, _, waiter in self._heap:
+            if not waiter.left and not any(
+                waiter.may_use(limiter, now) for limiter in listed
+            ):
+                self.remove(waiter)
+                waiter.ready.set()
 
-    def admit_next(self, limiter: TargetLimiter) -> bool:
-        """Admit the first request that has not tried the target yet.
+    def admit_next(self, limiter: TargetLimiter, now: float) -> bool:
+        """Admit the first request that may use the target.
 
         :param limiter: Limiter of a target with a free slot.
+        :param now: Monotonic time, in seconds.
         :return: Whether a request was admitted.
         """
         skipped: list[tuple[int, int, Waiter]] = []
@@ -140,7 +176,7 @@
             waiter = entry[2]
             if waiter.left:
                 continue
-            if limiter.target.name in waiter.tried:
+            if not waiter.may_use(limiter, now):
                 skipped.append(entry)
                 continue
             self._length -= 1
--- a/src/dogwoodmast/direct/attempt.py
+++ b/src/dogwoodmast/direct/attempt.py
@@ -23,6 +23,7 @@
 )
 from dogwoodmast.direct.connection_pool import ConnectionPool
 from dogwoodmast.direct.named_limits import NamedLimits
+from dogwoodmast.direct.rate_gate import Permit
 from dogwoodmast.direct.target_connection import (
     OutgoingRequest,
     ResponseHead,
@@ -77,6 +78,7 @@
     _clock: Clock
     _deliver: Deliver
     _limits: NamedLimits
+    _permit: Permit
 
     async def run(self) -> AttemptOutcome:
         """Send the request and forward the response to the caller.
@@ -92,6 +94,9 @@
             return Refused(error.message, was_sent=False)
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(self._pool.release, connection)
+            if self._permit.is_expired(self._clock.monotonic()):
+                reason = 'permit of the rate limit expired while connecting'
+                return Refused(reason, was_sent=False)
             try:
                 return await self._exchange(connection)
             except ExchangeAborted as error:
--- a/src/dogwoodmast/direct/coordinator.py
+++ b/src/dogwoodmast/direct/coordinator.py
@@ -17,6 +17,7 @@
 from dogwoodmast.direct.directory import Directory
 from dogwoodmast.direct.grant_state_machine import GrantStateMachine
 from dogwoodmast.direct.messages import LoadReport, ShardVersion, VmRecord
+from dogwoodmast.direct.named_limits import NamedLimits
 from dogwoodmast.direct.shard_coordinator import ShardCoordinator
 from dogwoodmast.direct.table_distributor import TableDistributor
 from dogwoodmast.errors import PlatformError
@@ -66,6 +67,8 @@
     """Monotonic clock that also advances while the machine is suspended."""
     longest_hold: float
     """Maximum time for which a target may be granted keys, in seconds."""
+    limits: NamedLimits = attrs.field(factory=NamedLimits)
+    """Rate limits that targets name."""
 
 
 class Coordinator:
@@ -201,6 +204,7 @@
             self._leadership,
             dependencies.store,
             dependencies.clock,
+            dependencies.limits,
         )
 
     def _make_distributor(
--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import secrets
 import signal
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
@@ -21,16 +20,16 @@
 from dogwoodmast.direct.dispatcher import Dispatcher
 from dogwoodmast.direct.gateway import DirectGateway
 from dogwoodmast.direct.leadership import Leadership
-from dogwoodmast.direct.messages import VmRecord
 from dogwoodmast.direct.metrics import Metrics
 from dogwoodmast.direct.process_monitor import ProcessMonitor
+from dogwoodmast.direct.rate_limiting import RateLimiting
 from dogwoodmast.direct.readiness import Readiness
 from dogwoodmast.direct.settings import DirectSettings, load_direct_settings
 from dogwoodmast.direct.shard_view import LoadReporter, ShardView
 from dogwoodmast.direct.source_selector import SourceSelector
 from dogwoodmast.direct.sync_timing import SyncTiming
 from dogwoodmast.direct.target_set import TargetSet
-from dogwoodmast.direct.vm_registration import VmRegistration
+from dogwoodmast.direct.vm_registration import VmRegistration, make_vm_record
 from dogwoodmast.events import Event, log_event
 from dogwoodmast.frames import PROTOCOL_VERSION, Hello
 from dogwoodmast.http_server import (
@@ -65,9 +64,6 @@
 EXIT_MARGIN = 0.4
 """Time by which the process ends by itself before it would be killed, in
 seconds."""
-INCARNATION_BYTES = 8
-"""Random bytes of an incarnation ID, which identifies one run of the process;
-enough to make IDs unique."""
 DEFAULT_KEEP_ALIVE = 15
 """Idle timeout of callers' connections until a configuration sets one, in
 seconds."""
@@ -88,13 +84,7 @@
         self._clock = BootClock()
         self._store = MetadataStore(settings.store, self._clock)
         self._handlers = MessageHandlers()
-        self._record = VmRecord(
-            settings.vm.name,
-            settings.vm.zone,
-            str(settings.listen.links),
-            secrets.token_hex(INCARNATION_BYTES),
-            settings.capacity,
-        )
+        self._record = make_vm_record(settings)
         self._monitor = ProcessMonitor()
         self._links = LinkPool(
             Hello(
@@ -112,8 +102,19 @@
         self._metrics = Metrics()
         self._readiness = Readiness(self._directory, self._targets)
         self._timing = SyncTiming(self._bounds.copy_bound)
+        self._rates = RateLimiting(
+            settings.vm.name,
+            self._directory,
+            self._links,
+            self._clock,
+            self._timing,
+        )
         self._dispatcher = Dispatcher(
-            self._targets, self._view, self._clock, self._bounds
+            self._targets,
+            self._view,
+            self._clock,
+            self._rates.gate,
+            self._bounds,
         )
         self._gateway = DirectGateway(
             self._directory,
@@ -165,6 +166,7 @@
             self._links,
             self._clock,
             self._bounds.longest_hold,
+            self._rates.limits,
         )
         leadership = Leadership(self._record, self._store, self._clock)
         return Coordinator(parts, leadership)
@@ -205,7 +207,7 @@
             self._peer_addresses,
             self._dispatcher.quarantine,
         )
-        for part in (sync, reporter, coordinator, notifier):
+        for part in (sync, reporter, coordinator, notifier, self._rates):
             part.register(self._handlers)
         await tasks.start(
             serve_links, listen.links, self._handlers, self._monitor.traffic
@@ -218,7 +220,7 @@
             coordinator,
             notifier,
             self._monitor,
-            self._dispatcher.limits,
+            self._rates,
         ):
             tasks.start_soon(task.run)
         tasks.start_soon(self._refresh, tasks)
@@ -247,9 +249,7 @@
                 vm_count = max(1, len(self._directory.vms()))
                 self._dispatcher.vm_count = vm_count
                 self._targets.update(targets, table, vm_count, tasks)
-                self._dispatcher.limits.retain(
-                    [one.key for one in targets.values()]
-                )
+                self._rates.refresh()
                 self._server.config.timeout_keep_alive = int(
                     table.limits.idle_time
                 )
@@ -284,7 +284,7 @@
         metrics.add_gauge(
             'limited_targets',
             'Targets that name a rate limit.',
-            lambda: len(self._dispatcher.limits.rates),
+            lambda: len(self._rates.limits.rates),
         )
         metrics.add_gauge(
             'store_calls',
--- a/src/dogwoodmast/direct/dispatcher.py
+++ b/src/dogwoodmast/direct/dispatcher.py
@@ -25,7 +25,8 @@
     Refused,
     Rejected,
 )
-from dogwoodmast.direct.named_limits import NamedLimits
+from dogwoodmast.direct.rate_gate import Permit, RateDenied, RateGate
+from dogwoodmast.direct.rate_keeper import MIN_RATE
 from dogwoodmast.direct.retry_budget import RetryBudget
 from dogwoodmast.direct.settings import Bounds
 from dogwoodmast.direct.shard_view import ShardView
@@ -67,6 +68,8 @@
     retries after these are charged to the retry budget."""
     may_have_run: bool = False
     """Whether a finished attempt may have run the request."""
+    permit: Permit = Permit()
+    """Permit of the next attempt under the rate limit of its target."""
     last_outcome: AttemptOutcome | None = None
     """Outcome of the last attempt, ``Broken`` while one is in progress, or
     ``None`` before the first."""
@@ -79,13 +82,12 @@
     _targets: TargetSet
     _shards: ShardView
     _clock: Clock
+    _gate: RateGate
     bounds: Bounds
     """Limits set by the platform contract.  The retry budget of a service keeps
     the limits that were in force at the first request for the service."""
     quarantine: Quarantine = attrs.field(factory=Quarantine)
     """Fingerprints of requests that are rejected since they crash targets."""
-    limits: NamedLimits = attrs.field(factory=NamedLimits)
-    """Rate limits that targets name."""
     vm_count: int = 1
     """Number of entry VMs that are up; they share the retry budget."""
     _random: random.Random = attrs.field(factory=random.Random)
@@ -172,7 +174,13 @@
         if pool is None:
             return Refused('target is leaving or gone', was_sent=False)
         exchange = Exchange(
-            progress.call, limiter, pool, self._clock, deliver, self.limits
+            progress.call,
+            limiter,
+            pool,
+            self._clock,
+            deliver,
+            self._gate.limits,
+            progress.permit,
         )
         # If the deadline cancels the exchange, the request may have run.
         progress.last_outcome = Broken('no response before the deadline')
@@ -233,10 +241,32 @@
     async def _acquire_slot(
         self, progress: Progress
     ) -> TargetLimiter | Rejected:
-        found = None
-        while found is None:
+        while True:
             found = await self._try_acquire_slot(progress)
-        return found
+            if isinstance(found, Rejected):
+                return found
+            if found is not None and await self._has_permit(progress, found):
+                return found
+
+    async def _has_permit(
+        self, progress: Progress, limiter: TargetLimiter
+    ) -> bool:
+        """Obtain a permit for the next attempt, or release its slot."""
+        priority = progress.call.route.priority
+        try:
+            permit = await self._gate.obtain(limiter.target.key, priority)
+        except BaseException:
+            self._targets.release(limiter)
+            raise
+        match permit:
+            case Permit():
+                progress.permit = permit
+                return True
+            case RateDenied(wait, pause):
+                now = self._clock.monotonic()
+                limiter.pause(priority, now + pause, now + wait)
+                self._targets.release(limiter)
+                return False
 
     async def _try_acquire_slot(
         self, progress: Progress
@@ -264,15 +294,39 @@
                 progress, ProblemType.NO_OWNER, NO_OWNER_RETRY_DELAY
             )
         tried = progress.tried if is_unkeyed else frozenset()
-        if all(limiter.target.name in tried for limiter in candidates.limiters):
+        untried = candidates.without(tried)
+        if not untried.limiters:
             return self._give_up(progress, ProblemType.OVERLOADED)
+        usable = untried.within_rates(
+            call.route.priority, self._clock.monotonic()
+        )
+        if not usable.limiters:
+            return self._reject_limited(progress, untried)
         size = self._sizes.get(call.route.name, 0)
         # A free slot belongs to the requests that already wait for one.
-        limiter = self._targets.choose(candidates, tried, size)
+        limiter = self._targets.choose(usable, size)
         if limiter is not None and not len(candidates.queue):
             limiter.in_flight += 1
             return limiter
-        return await self._wait_in_queue(progress, candidates, tried)
+        return await self._wait_in_queue(progress, usable, tried)
+
+    def _reject_limited(
+        self, progress: Progress, candidates: Candidates
+    ) -> Rejected:
+        """Reject a request for which all targets' rate limits are used up."""
+        now = self._clock.monotonic()
+        rates = self._gate.limits
+        latest = (progress.call.deadline - now) / 3
+        wait = min(
+            limiter.schedule_return(
+                1 / max(rates.rate(limiter.target.key), MIN_RATE), now
+            )
+            for limiter in candidates.limiters
+        )
+        # Callers honour a third of their time; a longer wait is drawn within
+        # it, so that they do not all return at its end.
+        wait = min(wait, latest * (1 + self._random.random()) / 3)
+        return self._reject(progress, ProblemType.TARGET_LIMITED, wait)
 
     async def _await_holder(self, progress: Progress) -> Candidates | None:
         """Wait until a target holds the key.
--- a/src/dogwoodmast/direct/messages.py
+++ b/src/dogwoodmast/direct/messages.py
@@ -212,3 +212,51 @@
     """Baseline latencies of the service's targets."""
     reads_store: bool = False
     """Whether the VM reads changes from the store, not from another VM."""
+
+
+@wire_message(_IDL)
+@attrs.frozen
+class RateRequest:
+    """Request for a permit to send one request to a target with a rate limit.
+
+    It tells what the requesting VM knows of the limit.
+    """
+
+    target: str
+    """Name of the target."""
+    born: int
+    """Start time of the target's incarnation, in Unix milliseconds."""
+    priority: int
+    """Priority of the request; 0 is the highest."""
+    rate: float
+    """Rate that the target named, in requests per second; infinite for no
+    limit."""
+    oldest_age: float
+    """Greatest possible age of the statement, in seconds."""
+    newest_age: float
+    """Smallest possible age of the statement, in seconds."""
+    is_report: bool = False
+    """Whether no permit is asked for, and the message only tells of the limit:
+    a VM tells the keeper, and the keeper all VMs."""
+
+
+@wire_message(_IDL)
+@attrs.frozen
+class RateReply:
+    """Answer to a :class:`RateRequest`, with what the keeper knows."""
+
+    is_permitted: bool
+    """Whether the request may be sent."""
+    rate: float
+    """Rate that the target named, in requests per second; infinite for no
+    limit."""
+    oldest_age: float
+    """Greatest possible age of the statement, in seconds."""
+    newest_age: float
+    """Smallest possible age of the statement, in seconds."""
+    wait: float = 0
+    """Time after which the caller of a refused request may return, in seconds;
+    0 if the keeper knows none."""
+    pause: float = 0
+    """Time for which the VM should not ask again for requests of this
+    priority, in seconds; 0 if the keeper knows none."""
--- a/src/dogwoodmast/direct/named_limits.py
+++ b/src/dogwoodmast/direct/named_limits.py
@@ -11,6 +11,7 @@
 
 import math
 from collections import Counter
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import anyio
@@ -34,6 +35,9 @@
 USAGE_LOG_INTERVAL = 1.0
 """Time between two log lines about the requests sent to a target with a limit,
 in seconds."""
+CONSIDERABLE_CHANGE = 0.25
+"""Relative change of a rate from which on other VMs are told at once; smaller
+ones travel with requests for permits."""
 NO_LIMIT = math.inf
 """Rate of a target without a limit."""
 
@@ -60,6 +64,25 @@
         return self.since >= known.until
 
 
+NEVER_NAMED = NamedLimit(NO_LIMIT, -math.inf, -math.inf)
+"""Knowledge of a target that never named a limit."""
+
+
+def has_changed_much(previous: float, rate: float) -> bool:
+    """Tell whether a change of a limit is worth telling other VMs.
+
+    :param previous: Rate that they know, in requests per second.
+    :param rate: Rate now, in requests per second.
+    :return: Whether a limit has begun or ended, or its rate has changed by
+        ``CONSIDERABLE_CHANGE``.
+    """
+    if rate == previous:
+        return False
+    if NO_LIMIT in {rate, previous}:
+        return True
+    return abs(rate - previous) >= CONSIDERABLE_CHANGE * previous
+
+
 @attrs.define(eq=False)
 class NamedLimits:
     """Rate limits of all targets."""
@@ -67,6 +90,7 @@
     _known: dict[TargetKey, NamedLimit] = attrs.field(factory=dict)
     _unreadable: set[TargetKey] = attrs.field(factory=set)
     _sent: Counter[TargetKey] = attrs.field(factory=Counter)
+    _listeners: list[Callable[[TargetKey], None]] = attrs.field(factory=list)
 
     @property
     def rates(self) -> dict[TargetKey, float]:
@@ -77,13 +101,13 @@
             if known.rate < NO_LIMIT
         }
 
-    def get(self, target: TargetKey) -> NamedLimit | None:
+    def get(self, target: TargetKey) -> NamedLimit:
         """Return the statement in force for a target.
 
         :param target: Target incarnation.
-        :return: Statement, or ``None`` if the target never named a limit.
+        :return: Statement, or ``NEVER_NAMED``.
         """
-        return self._known.get(target)
+        return self._known.get(target, NEVER_NAMED)
 
     def rate(self, target: TargetKey) -> float:
         """Return a target's limit.
@@ -91,8 +115,15 @@
         :param target: Target incarnation.
         :return: Requests per second from all VMs together, or ``NO_LIMIT``.
         """
-        known = self._known.get(target)
-        return NO_LIMIT if known is None else known.rate
+        return self.get(target).rate
+
+    def subscribe(self, listener: Callable[[TargetKey], None]) -> None:
+        """Register a callback for limits that this VM is the first to see.
+
+        :param listener: Called with each target of which a response of its own
+            shows that its limit has begun, ended or changed much.
+        """
+        self._listeners.append(listener)
 
     def on_sent(self, target: TargetKey) -> None:
         """Count a request that this VM sends.
@@ -108,7 +139,7 @@
         statement: LimitStatement,
         sent_at: float,
         now: float,
-    ) -> bool:
+    ) -> None:
         """Record what a response to a request of this VM says.
 
         :param target: Target incarnation.
@@ -116,43 +147,40 @@
         :param sent_at: Monotonic time at which the request was sent, in
             seconds.
         :param now: Monotonic time, in seconds.
-        :return: Whether the target's limit has begun or ended.
         """
         match statement:
             case RateLimit(rate):
-                return self.on_stated(target, NamedLimit(rate, sent_at, now))
+                stated = NamedLimit(rate, sent_at, now)
             case UnreadableLimit():
                 self._on_unreadable(target)
-                return False
+                return
             case Unlimited():
-                known = self._known.get(target)
-                if known is None or now < known.until + LAPSE_TIME:
-                    return False
-                ended = NamedLimit(NO_LIMIT, sent_at, now)
-                return self.on_stated(target, ended)
+                if now < self.get(target).until + LAPSE_TIME:
+                    return
+                stated = NamedLimit(NO_LIMIT, sent_at, now)
+        if self.on_stated(target, stated):
+            for listener in self._listeners:
+                listener(target)
 
     def on_stated(self, target: TargetKey, stated: NamedLimit) -> bool:
         """Record a statement that this VM or another one has seen.
 
         :param target: Target incarnation.
         :param stated: Statement, with times on this VM's clock.
-        :return: Whether the target's limit has begun or ended.
+        :return: Whether other VMs have to be told: the limit has begun, ended
+            or changed much.
         """
-        known = self._known.get(target)
-        if known is None:
-            known = NamedLimit(NO_LIMIT, -math.inf, -math.inf)
-        if not stated.supersedes(known):
+        known = self.get(target)
+        if not stated.supersedes(known) or stated == NEVER_NAMED:
             return False
         self._known[target] = stated
-        was_limited = known.rate < NO_LIMIT
-        is_limited = stated.rate < NO_LIMIT
-        if is_limited and not was_limited:
+        if known.rate == NO_LIMIT and stated.rate < NO_LIMIT:
             log_event(
                 Event.TARGET_LIMIT_NAMED, target=target[0], rate=stated.rate
             )
-        if was_limited and not is_limited:
+        if known.rate < NO_LIMIT and stated.rate == NO_LIMIT:
             log_event(Event.TARGET_LIMIT_ENDED, target=target[0])
-        return was_limited != is_limited
+        return has_changed_much(known.rate, stated.rate)
 
     async def run(self) -> None:
         """Log the use of the limits once a second until cancelled."""
--- /dev/null
+++ b/src/dogwoodmast/direct/rate_limiting.py
@@ -0,0 +1,99 @@
+"""Parts of an entry VM that keep the rate limits of targets."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from dogwoodmast.address import Address
+from dogwoodmast.direct.limit_announcer import LimitAnnouncer
+from dogwoodmast.direct.named_limits import NamedLimits
+from dogwoodmast.direct.rate_gate import RateGate
+from dogwoodmast.direct.rate_keeper import RateKeeper
+from dogwoodmast.errors import LinkUnavailable
+
+if TYPE_CHECKING:
+    from dogwoodmast.clock import Clock
+    from dogwoodmast.direct.directory import Directory
+    from dogwoodmast.direct.sync_timing import SyncTiming
+    from dogwoodmast.link_pool import LinkPool
+    from dogwoodmast.message_handlers import MessageHandlers
+
+
+class RateLimiting:
+    """Knowledge of limits, permits for the own VM and those for others."""
+
+    def __init__(
+        self,
+        vm: str,
+        directory: Directory,
+        links: LinkPool,
+        clock: Clock,
+        timing: SyncTiming,
+    ) -> None:
+        """Create the parts; :meth:`run` has to be started.
+
+        :param vm: Name of the local entry VM.
+        :param directory: Local copy of the store.
+        :param links: Links to other entry VMs.
+        :param clock: Monotonic clock that also advances while the machine is
+            suspended.
+        :param timing: Timing of the copy of the store.
+        """
+        self._directory = directory
+        self._links = links
+        self._clock = clock
+        self._timing = timing
+        self.limits = NamedLimits()
+        self.keeper = RateKeeper(
+            vm, self.limits, self._list_vms, self._is_copy_current, clock
+        )
+        self.gate = RateGate(
+            vm,
+            self.limits,
+            self.keeper,
+            self._list_vms,
+            self._ask_peer,
+            clock,
+        )
+        self._announcer = LimitAnnouncer(
+            vm,
+            self.limits,
+            self.keeper,
+            self._list_vms,
+            self._ask_peer,
+            clock,
+        )
+
+    def register(self, handlers: MessageHandlers) -> None:
+        """Register the handler for requests of other VMs.
+
+        :param handlers: Message handlers of this entry VM's links.
+        """
+        self.keeper.register(handlers)
+
+    def refresh(self) -> None:
+        """Apply changes of the lists of targets and VMs."""
+        targets = self._directory.targets(self._clock.monotonic())
+        self.limits.retain([one.key for one in targets.values()])
+        self.keeper.on_vms_changed()
+
+    async def run(self) -> None:
+        """Exchange news of limits with other VMs until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.limits.run)
+            tasks.start_soon(self._announcer.run)
+
+    def _list_vms(self) -> list[str]:
+        return list(self._directory.vms())
+
+    def _is_copy_current(self) -> bool:
+        age = self._directory.age(self._clock.monotonic())
+        return age <= self._timing.bound
+
+    async def _ask_peer(self, vm: str, message: object) -> object:
+        record = self._directory.vms().get(vm)
+        if record is None:
+            raise LinkUnavailable(vm)
+        return await self._links.call(Address.parse(record.links), message)
--- a/src/dogwoodmast/direct/shard_coordinator.py
+++ b/src/dogwoodmast/direct/shard_coordinator.py
@@ -27,7 +27,10 @@
 )
 from dogwoodmast.direct.shard_record import pack_record, unpack_record
 from dogwoodmast.direct.target_control import GRANT_TIMEOUT, TargetControl
-from dogwoodmast.direct.target_latencies import TargetLatencies
+from dogwoodmast.direct.target_latencies import (
+    TargetLatencies,
+    limited_capacity,
+)
 from dogwoodmast.direct.update_log import UpdateLog
 from dogwoodmast.errors import PlatformAnswerLost, PlatformError
 from dogwoodmast.events import Event, log_event
@@ -48,6 +51,7 @@
         ShardUpdate,
         ShardVersion,
     )
+    from dogwoodmast.direct.named_limits import NamedLimits
     from dogwoodmast.direct.shard import Shard
     from dogwoodmast.key_value import PolledStore
 
@@ -78,6 +82,7 @@
         leadership: Leadership,
         store: PolledStore,
         clock: Clock,
+        limits: NamedLimits,
     ) -> None:
         """Create it without shards; ``load`` restores the stored ones.
 
@@ -87,11 +92,13 @@
         :param store: Client of the platform's store.
         :param clock: Monotonic clock that also advances while the machine is
             suspended.
+        :param limits: Rate limits that targets name.
         """
         self._state_machine = state_machine
         self._leadership = leadership
         self._store = store
         self._clock = clock
+        self._limits = limits
         self._loads = KeyLoads(LOAD_HALF_LIFE)
         self._planner = ShardPlanner(self._loads)
         self._latencies = TargetLatencies()
@@ -223,7 +230,14 @@
             )
 
     def _capacities(self) -> dict[str, float]:
-        return self._latencies.capacities(self._state_machine.targets.values())
+        targets = self._state_machine.targets
+        capacities = self._latencies.capacities(targets.values())
+        return {
+            name: limited_capacity(
+                capacity, self._limits.rate(targets[name].key)
+            )
+            for name, capacity in capacities.items()
+        }
 
     async def _make_call(self, call: TargetCall) -> None:
         control = self._get_control(call.target)
--- a/src/dogwoodmast/direct/target_latencies.py
+++ b/src/dogwoodmast/direct/target_latencies.py
@@ -25,6 +25,11 @@
 """Lower bound of a target's estimated speed, relative to the mean."""
 MAX_RELATIVE_SPEED = 2.0
 """Upper bound of a target's estimated speed, relative to the mean."""
+LIMIT_FRACTION = 0.7
+"""Fraction of the rate limit that a target names that its keys should load it
+with; requests come unevenly, and those beyond the limit are rejected."""
+MIN_CAPACITY = 0.1
+"""Smallest capacity of a target with a rate limit, in requests per second."""
 
 
 @attrs.define
@@ -67,3 +72,13 @@
         return min(
             max(latency, mean / MAX_RELATIVE_SPEED), mean / MIN_RELATIVE_SPEED
         )
+
+
+def limited_capacity(capacity: float, rate: float) -> float:
+    """Lower a capacity to what a target's rate limit allows.
+
+    :param capacity: Capacity without a limit, in requests per second.
+    :param rate: Rate limit in requests per second, infinite for none.
+    :return: Capacity in requests per second.
+    """
+    return min(capacity, max(rate * LIMIT_FRACTION, MIN_CAPACITY))
--- a/src/dogwoodmast/direct/target_limiter.py
+++ b/src/dogwoodmast/direct/target_limiter.py
@@ -62,6 +62,8 @@
     _failures: int = 0
     _missing_responses: int = 0
     _penalized_until: float = float('-inf')
+    _pauses: dict[int, float] = attrs.field(factory=dict)
+    _next_return: float = float('-inf')
 
     @property
     def baseline_latency(self) -> float:
@@ -98,6 +100,43 @@
         is_unresponsive = self._missing_responses >= DOWN_THRESHOLD
         return is_unresponsive and self.in_flight > 0 and self.is_penalized(now)
 
+    def is_paused(self, priority: int, now: float) -> bool:
+        """Tell whether the rate limit that the target names is used up.
+
+        :param priority: Priority of a request; 0 is the highest.
+        :param now: Monotonic time, in seconds.
+        :return: Whether a request of this priority would be refused a permit,
+            since one of the same or a higher priority was refused lately.
+        """
+        return any(
+            refused <= priority and now < until
+            for refused, until in self._pauses.items()
+        )
+
+    def pause(self, priority: int, until: float, next_return: float) -> None:
+        """Record that a request was refused a permit.
+
+        :param priority: Priority of the request; 0 is the highest.
+        :param until: Monotonic time until which no request of this priority
+            should be sent, in seconds.
+        :param next_return: Monotonic time at which a rejected request may
+            return, in seconds.
+        """
+        self._pauses[priority] = until
+        self._next_return = max(self._next_return, next_return)
+
+    def schedule_return(self, interval: float, now: float) -> float:
+        """Choose when a request that is rejected during a pause may return.
+
+        :param interval: Time between two permits, in seconds.
+        :param now: Monotonic time, in seconds.
+        :return: Time until then, in seconds; each call adds the interval, so
+            that rejected requests do not return together.
+        """
+        returns_at = max(self._next_return, now)
+        self._next_return = returns_at + interval
+        return returns_at - now
+
     def cap_limit(self, max_limit: float) -> None:
         """Set an upper bound for the limit, and apply it at once.
 
--- a/src/dogwoodmast/direct/target_set.py
+++ b/src/dogwoodmast/direct/target_set.py
@@ -42,6 +42,37 @@
     queue: AdmissionQueue
     """Requests that wait for a slot at any of these targets."""
 
+    def without(self, tried: frozenset[str]) -> Candidates:
+        """Return the candidates that a request has not tried.
+
+        :param tried: Names of targets.
+        :return: Other candidates, with the same queue.
+        """
+        return attrs.evolve(
+            self,
+            limiters=tuple(
+                limiter
+                for limiter in self.limiters
+                if limiter.target.name not in tried
+            ),
+        )
+
+    def within_rates(self, priority: int, now: float) -> Candidates:
+        """Return the candidates whose rate limit is not used up.
+
+        :param priority: Priority of a request; 0 is the highest.
+        :param now: Monotonic time, in seconds.
+        :return: These candidates, with the same queue.
+        """
+        return attrs.evolve(
+            self,
+            limiters=tuple(
+                limiter
+                for limiter in self.limiters
+                if not limiter.is_paused(priority, now)
+            ),
+        )
+
     @property
     def service_rate(self) -> float:
         """Estimated throughput of all targets for this VM, in requests/s."""
@@ -122,12 +153,9 @@
         :param service: Name of the service.
         :return: Its targets, or ``None`` if none is up.
         """
-        limiters = tuple(
-            limiter
-            for limiter in self._limiters.values()
-            if limiter.target.service == service
+        return self._make_candidates(
+            f'service {service}', self._of_service(service)
         )
-        return self._make_candidates(f'service {service}', limiters)
 
     def target_candidates(self, name: str, born: int) -> Candidates | None:
         """Return a single target, for requests whose key it holds.
@@ -141,26 +169,17 @@
         return self._make_candidates(f'target {name}', limiters)
 
     def choose(
-        self,
-        candidates: Candidates,
-        tried: frozenset[str],
-        response_size: float,
+        self, candidates: Candidates, response_size: float
     ) -> TargetLimiter | None:
         """Choose a candidate with a free slot.
 
         :param candidates: Targets to choose from.
-        :param tried: Names of targets that must not be chosen.
         :param response_size: Expected size of the response, in bytes.
         :return: Limiter of the target, or ``None`` if none has a free slot.
         """
-        limiters = [
-            limiter
-            for limiter in candidates.limiters
-            if limiter.target.name not in tried
-        ]
         now = self._clock.monotonic()
         context = RoutingContext(self.zone, response_size)
-        return choose_target(limiters, context, now, self._random)
+        return choose_target(candidates.limiters, context, now, self._random)
 
     def baseline_latencies(self, service: str) -> dict[str, float]:
         """Return the baseline latencies of a service's targets.
@@ -195,16 +214,28 @@
         target = limiter.target
         if self.pool(limiter) is None:
             return
-        for label in (f'target {target.name}', f'service {target.service}'):
+        now = self._clock.monotonic()
+        for label, limiters in (
+            (f'target {target.name}', (limiter,)),
+            (f'service {target.service}', self._of_service(target.service)),
+        ):
             queue = self._queues.get(label)
-            if queue is not None:
-                queue.admit_waiters(limiter)
+            if queue is not None and len(queue):
+                queue.admit_waiters(limiter, now)
+                queue.wake_refused(limiters, now)
 
     async def aclose(self) -> None:
         """Close all idle connections."""
         for pool in self._pools.values():
             await pool.aclose()
 
+    def _of_service(self, service: str) -> tuple[TargetLimiter, ...]:
+        return tuple(
+            limiter
+            for limiter in self._limiters.values()
+            if limiter.target.service == service
+        )
+
     def _drop_queue(self, label: str) -> None:
         queue = self._queues.pop(label, None)
         if queue is not None:
--- a/src/dogwoodmast/direct/vm_registration.py
+++ b/src/dogwoodmast/direct/vm_registration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import secrets
 from typing import TYPE_CHECKING
 
 import anyio
@@ -9,12 +10,13 @@
 from dogwoodmast._wire import encode
 from dogwoodmast.backoff import Backoff
 from dogwoodmast.direct.directory import VM_PREFIX
+from dogwoodmast.direct.messages import VmRecord
 from dogwoodmast.errors import PlatformError
 from dogwoodmast.events import Event, log_event
 from dogwoodmast.key_value import Put
 
 if TYPE_CHECKING:
-    from dogwoodmast.direct.messages import VmRecord
+    from dogwoodmast.direct.settings import DirectSettings
     from dogwoodmast.key_value import PolledStore
 
 LISTING_TTL = 12
@@ -26,6 +28,24 @@
 """Upper bound of the first pause after a failure, in seconds."""
 MAX_BACKOFF = 2.0
 """Upper bound of all pauses after failures, in seconds."""
+INCARNATION_BYTES = 8
+"""Random bytes of an incarnation ID, which identifies one run of the process;
+enough to make IDs unique."""
+
+
+def make_vm_record(settings: DirectSettings) -> VmRecord:
+    """Make the record of a process that starts.
+
+    :param settings: Settings of the process.
+    :return: Record with a new incarnation ID.
+    """
+    return VmRecord(
+        settings.vm.name,
+        settings.vm.zone,
+        str(settings.listen.links),
+        secrets.token_hex(INCARNATION_BYTES),
+        settings.capacity,
+    )
 
 
 class VmRegistration:
--- a/src/dogwoodmast/idl/direct.thrift
+++ b/src/dogwoodmast/idl/direct.thrift
@@ -88,3 +88,22 @@
   6: list<TargetPace> paces,
   7: bool reads_store = 0,
 }
+
+struct RateRequest {
+  1: string target,
+  2: i64 born,
+  3: i64 priority,
+  4: double rate,
+  5: double oldest_age,
+  6: double newest_age,
+  7: bool is_report = 0,
+}
+
+struct RateReply {
+  1: bool is_permitted,
+  2: double rate,
+  3: double oldest_age,
+  4: double newest_age,
+  5: double wait = 0,
+  6: double pause = 0,
+}
--- a/src/dogwoodmast/problem.py
+++ b/src/dogwoodmast/problem.py
@@ -76,6 +76,9 @@
     OVERLOADED = ('overloaded', HTTPStatus.SERVICE_UNAVAILABLE)
     """The target that owns the key sheds load, or its queue is full or too
     long for the deadline."""
+    TARGET_LIMITED = ('target-limited', HTTPStatus.SERVICE_UNAVAILABLE)
+    """The targets that may run the request name rate limits, and these are
+    used up for its priority."""
     DEADLINE_TOO_SHORT = (
         'deadline-too-short',
         HTTPStatus.SERVICE_UNAVAILABLE,
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -219,7 +219,7 @@
         queue.add(waiter)
     assert queue.count_ahead(1) == 2
     served = []
-    while queue.admit_next(limiter):
+    while queue.admit_next(limiter, 0):
         served.append(next(one for one in waiters if one.limiter and one.left))
         waiters.remove(served[-1])
     assert [one.priority for one in served] == [0, 1, 2, 2]
@@ -233,8 +233,8 @@
     """
     queue = AdmissionQueue()
     queue.add(Waiter(1, 1.0, frozenset(('t',))))
-    assert not queue.admit_next(make_limiter('t'))
-    assert queue.admit_next(make_limiter('u'))
+    assert not queue.admit_next(make_limiter('t'), 0)
+    assert queue.admit_next(make_limiter('u'), 0)
 
 
 def test_all_waiting_requests_can_be_woken() -> None:
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -48,7 +48,7 @@
 def test_delayed_response_does_not_raise_or_end_a_limit() -> None:
     """It may have been made before the limit was named."""
     limits = NamedLimits()
-    assert limits.on_response(TARGET, RateLimit(5), 1.0, 1.1)
+    limits.on_response(TARGET, RateLimit(5), 1.0, 1.1)
     limits.on_response(TARGET, RateLimit(50), 0.5, 4.0)
     assert limits.rate(TARGET) == 5
     limits.on_response(TARGET, Unlimited(), 1.05, 4.0)
@@ -73,9 +73,12 @@
     limits.on_response(TARGET, UnreadableLimit(), 1.2, 9.0)
     assert limits.rate(TARGET) == 5
     ended_at = 1.2 + LAPSE_TIME
-    assert limits.on_response(TARGET, Unlimited(), 1.2, ended_at)
+    news: list[tuple[str, int]] = []
+    limits.subscribe(news.append)
+    limits.on_response(TARGET, Unlimited(), 1.2, ended_at)
     assert limits.rate(TARGET) == NO_LIMIT
-    assert limits.on_response(TARGET, RateLimit(5), 1.1, ended_at + 0.1)
+    limits.on_response(TARGET, RateLimit(5), 1.1, ended_at + 0.1)
+    assert news == [TARGET, TARGET]
 
 
 def test_statement_of_another_vm_counts_by_its_age() -> None:
--- a/tests/test_target_limit.py
+++ b/tests/test_target_limit.py
@@ -23,10 +23,16 @@
 """Length of the windows in which the platform counts, in seconds."""
 WINDOW_BOUND = 1.5 * LIMIT * WINDOW + 5
 """Requests that the platform allows in a window."""
+KEYS = 65_536
+"""Number of keys."""
+KEY_STEP = 8_191
+"""Distance of the keys of successive requests."""
 VMS = 3
 """Number of entry VMs."""
 LEAD_TIME = 4.0
 """Time from the start of the VMs until targets name limits, in seconds."""
+REJECTION_TIME = 0.35
+"""Time within which a request beyond the limit is rejected, in seconds."""
 TEST_TIME = 6.0
 """Time for which requests are sent, in seconds."""
 
@@ -55,19 +61,23 @@
 
     :param fleet: Fleet to send to.
     :param path: Path of the requests.
-    :param key: Shard key, or ``None`` to send none.
+    :param key: Shard key, or ``None`` to send none, or to a sharded service
+        keys from all over the key space.
     :return: All responses.
     """
     answers: list[Answer] = []
 
-    async def send_one(vm: int) -> None:
+    async def send_one(number: int) -> None:
         began = time.monotonic()
-        response = await fleet.send_request(path, key=key, vm=vm)
+        used_key = key
+        if key is None and path.startswith('/balance'):
+            used_key = number * KEY_STEP % KEYS
+        response = await fleet.send_request(path, key=used_key, vm=number % VMS)
         answers.append(Answer(response, time.monotonic() - began))
 
     async with anyio.create_task_group() as tasks:
         for number in range(int(TEST_TIME * DEMAND)):
-            tasks.start_soon(send_one, number % VMS)
+            tasks.start_soon(send_one, number)
             await anyio.sleep(1 / DEMAND)
     return answers
 
@@ -97,5 +107,34 @@
         await anyio.sleep(LEAD_TIME)
         target.limit = str(LIMIT)
         target.arrivals.clear()
-        await send_steadily(fleet, path, key)
+        answers = await send_steadily(fleet, path, key)
     assert busiest_window(target.arrivals) <= WINDOW_BOUND
+    assert len(target.arrivals) >= 0.8 * LIMIT * TEST_TIME
+    rejected = [one for one in answers if one.outcome]
+    assert {one.outcome for one in rejected} == {'not_run'}
+    assert max(one.seconds for one in rejected) < REJECTION_TIME
+    assert all(b'retry-after' in dict(one.response.headers) for one in rejected)
+    assert len(target.arrivals) == len(answers) - len(rejected)
+
+
+async def test_limit_of_one_target_holds_requests_for_others_back() -> None:
+    """Requests without a key go to the targets that have no limit."""
+    limited = PlatformTarget('s0', limit=str(LIMIT))
+    async with direct_fleet(limited, PlatformTarget('s1'), vms=VMS) as fleet:
+        await fleet.wait_until_ready()
+        answers = await send_steadily(fleet, '/payment/x', None)
+    assert {one.outcome for one in answers} == {''}
+    assert busiest_window(limited.arrivals) <= WINDOW_BOUND
+
+
+async def test_keys_stay_on_a_target_that_names_a_limit() -> None:
+    """Requests were rejected although other targets had room."""
+    targets = [PlatformTarget(f's{number}', sharded=True) for number in (0, 1)]
+    async with direct_fleet(*targets, vms=VMS) as fleet:
+        await fleet.wait_until_ready()
+        await anyio.sleep(LEAD_TIME)
+        targets[0].limit = str(LIMIT)
+        await send_steadily(fleet, '/balance/x', None)
+        answers = await send_steadily(fleet, '/balance/x', None)
+    assert busiest_window(targets[0].arrivals) <= WINDOW_BOUND
+    assert sum(not one.outcome for one in answers) >= 0.9 * len(answers)
