Let a test of rate limits make sure that the limited target is used

It failed once in 3 runs: all requests went to the other target from the start, since the first one to answer is preferred, so that there was no arrival to count. The limited target is now listed first and is the faster one, and the test asks for arrivals, which the former one did not.

--- a/tests/test_target_limit.py
+++ b/tests/test_target_limit.py
@@ -120,10 +120,16 @@
 async def test_limit_of_one_target_holds_requests_for_others_back() -> None:
     """Requests without a key go to the targets that have no limit."""
     limited = PlatformTarget('s0', limit=str(LIMIT))
-    async with direct_fleet(limited, PlatformTarget('s1'), vms=VMS) as fleet:
+    slower = PlatformTarget('s1', work_time=0.2)
+    async with direct_fleet(limited, slower, vms=VMS) as fleet:
+        fleet.unlist_target('s1')
         await fleet.wait_until_ready()
+        fleet.list_target('s1')
+        await anyio.sleep(LEAD_TIME)
+        limited.arrivals.clear()
         answers = await send_steadily(fleet, '/payment/x', None)
     assert {one.outcome for one in answers} == {''}
+    assert limited.arrivals
     assert busiest_window(limited.arrivals) <= WINDOW_BOUND
 
 
