Log when a VM can open connections to no target

The record of RECOVER has only the attempts of sampled requests: no line tells that a VM reaches no target, since when, and how many fail.

Each attempt to open a connection to a target is now recorded: a target fails while its last one failed, and the VM counts as cut off once several targets in a row failed with none in between that could be connected to. Events 417 and 418 and the gauge unreachable_targets show it. No decision uses it yet.

--- a/src/dogwoodmast/direct/connection_pool.py
+++ b/src/dogwoodmast/direct/connection_pool.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import attrs
 
 from dogwoodmast.address import Address
 from dogwoodmast.clock import Clock
 from dogwoodmast.direct.target_connection import TargetConnection
+from dogwoodmast.errors import ConnectFailed
 
 DEFAULT_IDLE_TIMEOUT = 4.0
 """Time after which an idle connection is no longer reused if the server has
@@ -29,6 +32,7 @@
     _name: str
     _address: Address
     _clock: Clock
+    _on_connect: Callable[[bool], None] | None = None
     _idle: list[_IdleConnection] = attrs.field(factory=list)
 
     async def acquire(self) -> TargetConnection:
@@ -43,7 +47,27 @@
             if now < idle.usable_until and idle.connection.is_usable:
                 return idle.connection
             await idle.connection.aclose()
-        return await TargetConnection.connect(self._name, self._address)
+        return await self.connect()
+
+    async def connect(self) -> TargetConnection:
+        """Open a new connection.
+
+        :return: Connection for exclusive use, until :meth:`release`.
+        :raises ConnectFailed: If it cannot be opened.
+        """
+        try:
+            connection = await TargetConnection.connect(
+                self._name, self._address
+            )
+        except ConnectFailed:
+            self._report(is_open=False)
+            raise
+        self._report(is_open=True)
+        return connection
+
+    def _report(self, *, is_open: bool) -> None:
+        if self._on_connect is not None:
+            self._on_connect(is_open)
 
     async def release(self, connection: TargetConnection) -> None:
         """Return a connection to the pool, or reset it if it is not reusable.
--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -281,6 +281,11 @@
         metrics.add_gauge(
             'running', 'Requests being served.', lambda: self._gateway.running
         )
+        metrics.add_gauge(
+            'unreachable_targets',
+            'Targets to which the last new connection failed.',
+            lambda: len(self._targets.reach.failing),
+        )
         metrics.add_gauge(
             'limited_targets',
             'Targets that name a rate limit.',
--- a/src/dogwoodmast/direct/target_set.py
+++ b/src/dogwoodmast/direct/target_set.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 from typing import TYPE_CHECKING
 
@@ -10,6 +11,7 @@
 from dogwoodmast.clock import Clock
 from dogwoodmast.direct.admission_queue import AdmissionQueue
 from dogwoodmast.direct.connection_pool import ConnectionPool
+from dogwoodmast.direct.reach import ReachTracker
 from dogwoodmast.direct.target_choice import RoutingContext, choose_target
 from dogwoodmast.direct.target_limiter import TargetLimiter
 
@@ -18,7 +20,7 @@
 
     from anyio.abc import TaskGroup
 
-    from dogwoodmast.direct.catalog import RouteTable, Target
+    from dogwoodmast.direct.catalog import RouteTable, Target, TargetKey
 
 CONNECTION_SHARE = 0.8
 """Fraction of a target's connections that all entry VMs together use for
@@ -95,6 +97,8 @@
     zone: str
     """Availability zone of the own VM."""
     _clock: Clock
+    reach: ReachTracker = attrs.field(factory=ReachTracker)
+    """Which targets new connections reach."""
     _random: random.Random = attrs.field(factory=random.Random)
     _limiters: dict[tuple[str, int], TargetLimiter] = attrs.field(factory=dict)
     _pools: dict[tuple[str, int], ConnectionPool] = attrs.field(factory=dict)
@@ -127,11 +131,8 @@
         :param vm_count: Number of entry VMs that are up.
         :param tasks: Task group in which idle connections are closed.
         """
-        listed = {
-            (one.name, one.born): one
-            for one in targets.values()
-            if not one.leaving
-        }
+        listed = {one.key: one for one in targets.values() if not one.leaving}
+        self.reach.update(listed.keys())
         for removed in self._limiters.keys() - listed.keys():
             self._limiters.pop(removed)
             self._drop_queue(f'target {removed[0]}')
@@ -140,7 +141,10 @@
             if key not in self._limiters:
                 self._limiters[key] = TargetLimiter(target)
                 self._pools[key] = ConnectionPool(
-                    target.name, target.address, self._clock
+                    target.name,
+                    target.address,
+                    self._clock,
+                    functools.partial(self._on_connect, key),
                 )
             service = table.services.get(target.service)
             connections = service.max_connections if service else 0
@@ -236,6 +240,9 @@
             if limiter.target.service == service
         )
 
+    def _on_connect(self, target: TargetKey, is_open: bool) -> None:
+        self.reach.on_connect(target, is_open=is_open)
+
     def _drop_queue(self, label: str) -> None:
         queue = self._queues.pop(label, None)
         if queue is not None:
--- a/src/dogwoodmast/events.py
+++ b/src/dogwoodmast/events.py
@@ -51,6 +51,8 @@
     TARGET_LIMIT_ENDED = (414, logbook.INFO)
     TARGET_LIMIT_UNREADABLE = (415, logbook.WARNING)
     TARGET_LIMIT_USED = (416, logbook.INFO)
+    TARGETS_UNREACHABLE = (417, logbook.WARNING)
+    TARGETS_REACHABLE = (418, logbook.INFO)
     LINK_OPENED = (500, logbook.INFO)
     LINK_LOST = (501, logbook.WARNING)
     LINK_MALFORMED = (502, logbook.WARNING)
