--- a/tests/direct_fleet.py
+++ b/tests/direct_fleet.py
@@ -13,6 +13,7 @@
 import attrs
 import httpcore
 
+from cut_path import Cut, CutPath
 from dogwoodmast._wire import encode
 from dogwoodmast.address import Address
 from dogwoodmast.direct.daemon import DirectVm
@@ -28,7 +29,7 @@
 from platform_target import PlatformTarget
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Iterable
 
 HOST = 'shop.example'
 """``Host`` header of all requests and host of all configured routes."""
@@ -209,6 +210,83 @@
         return (await self.send_request('/balance/x', key=7, vm=vm)).status
 
 
+@attrs.define(eq=False)
+class CuttableFleet(DirectFleet):
+    """Running fleet whose VMs reach targets through paths of their own."""
+
+    paths: list[dict[str, CutPath]] = attrs.field(factory=list)
+    """Paths to targets by name, for each entry VM."""
+
+    async def cut(
+        self, vms: Iterable[int], how: Cut, targets: Iterable[str] | None = None
+    ) -> None:
+        """Cut VMs off from targets.
+
+        :param vms: Numbers of the VMs.
+        :param how: How the paths are cut, or that they are healed.
+        :param targets: Names of the targets, by default all.
+        """
+        names = tuple(self.targets) if targets is None else tuple(targets)
+        for vm in vms:
+            for name in names:
+                await self.paths[vm][name].change(how)
+
+
+@contextlib.asynccontextmanager
+async def cuttable_fleet(
+    *targets: PlatformTarget, vms: int
+) -> AsyncIterator[CuttableFleet]:
+    """Run a fleet whose VMs can be cut off from targets one by one.
+
+    :param targets: Targets to run and to list in the store.
+    :param vms: Number of entry VMs.
+    :return: The fleet; its VMs accept connections but may not be ready.
+    """
+    addresses = {target.name: free_address() for target in targets}
+    content = StoreContent()
+    content.put_document('op/config', make_configuration())
+    fleet = CuttableFleet(
+        content,
+        StoreServer(content),
+        {one.name: one for one in targets},
+        addresses,
+    )
+    async with contextlib.AsyncExitStack() as stack:
+        stores = []
+        for _ in range(vms):
+            paths = {
+                name: CutPath(free_address(), address)
+                for name, address in addresses.items()
+            }
+            for path in paths.values():
+                await stack.enter_async_context(path.serving())
+            fleet.paths.append(paths)
+            listed = {
+                f'servers/{name}': str(opened.listen)
+                for name, opened in paths.items()
+            }
+            store = StoreServer(content, address=free_address())
+            store.target_addresses = listed
+            stores.append(store)
+        await stack.enter_async_context(
+            serving(
+                *((one, addresses[one.name]) for one in targets),
+                *((store, store.address) for store in stores),
+            )
+        )
+        for target in targets:
+            fleet.list_target(target.name)
+        tasks = await stack.enter_async_context(anyio.create_task_group())
+        stack.callback(tasks.cancel_scope.cancel)
+        for number, store in enumerate(stores):
+            settings = make_settings(f'vm{number}', store.address)
+            fleet.callers.append(settings.listen.callers)
+            tasks.start_soon(DirectVm(settings, pathlib.Path('none')).run)
+        while not await is_listening(fleet.callers):
+            await anyio.sleep(0.02)
+        yield fleet
+
+
 @contextlib.asynccontextmanager
 async def direct_fleet(
     *targets: PlatformTarget,
--- a/tests/metadata_store.py
+++ b/tests/metadata_store.py
@@ -195,6 +195,9 @@
     """Address of the server in fleets with several servers."""
     calls: list[str] = attrs.field(factory=list)
     """Method and path of each call that arrived."""
+    target_addresses: dict[str, str] = attrs.field(factory=dict)
+    """Addresses under which this server lists targets, by the key of their
+    entries, in place of those that were written."""
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -262,7 +265,8 @@
         item = self.content.items.get(key)
         if item is None:
             return 404, {'as_of': self.content.revision}
-        return 200, {**item.document(), 'as_of': self.content.revision}
+        document = self._view(item.document())
+        return 200, {**document, 'as_of': self.content.revision}
 
     def _read_range(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         prefix, after = query['prefix'], query.get('after', '')
@@ -273,7 +277,8 @@
         )
         return 200, {
             'items': [
-                self.content.items[key].document() for key in keys[:PAGE_SIZE]
+                self._view(self.content.items[key].document())
+                for key in keys[:PAGE_SIZE]
             ],
             'has_more': len(keys) > PAGE_SIZE,
             'as_of': self.content.revision,
@@ -295,11 +300,20 @@
 
     def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
         return [
-            event
+            self._view(event)
             for event in self.content.events
             if event['revision'] > after and event['key'].startswith(prefix)
         ]
 
+    def _view(self, document: dict[str, Any]) -> dict[str, Any]:
+        """Replace the address of a target's entry."""
+        address = self.target_addresses.get(document['key'])
+        if address is None or 'value' not in document:
+            return document
+        entry = orjson.loads(base64.b64decode(document['value']))
+        content = orjson.dumps({**entry, 'address': address})
+        return {**document, 'value': base64.b64encode(content).decode()}
+
     def _transaction(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         items = self.content.items
         found = {
