--- a/src/dogwoodmast/direct/attempt.py
+++ b/src/dogwoodmast/direct/attempt.py
@@ -6,7 +6,6 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-import anyio
 import attrs
 
 from dogwoodmast.clock import Clock
@@ -46,10 +45,6 @@
 """Bytes of a response that are buffered before any are forwarded.  A response
 that breaks off earlier can be replaced by that of a retry.  The size is twice
 that of the largest document in the platform contract."""
-CRASH_CHECK_TIMEOUT = 0.2
-"""Time allowed for the connection that tests whether a target is alive after
-a broken exchange, in seconds; a round trip between availability zones with a
-margin."""
 HOP_BY_HOP_HEADERS = frozenset(
     (
         b'connection',
@@ -115,10 +110,10 @@
             return mismatch
         self._record_limit(fields, sent_at)
         chunks = connection.read_body()
-        body, rest = await _buffer_body(chunks)
+        body, rest = await buffer_body(chunks)
         if fields.not_run or head.status == HTTPStatus.MISDIRECTED_REQUEST:
             return Refused(f'status {head.status}', was_sent=True)
-        response = Response(head.status, _forwarded_headers(head), body, rest)
+        response = Response(head.status, forwarded_headers(head), body, rest)
         if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR and rest is None:
             return Failed(response)
         try:
@@ -142,12 +137,9 @@
         cannot be opened for other reasons does not.
         """
         try:
-            with anyio.fail_after(CRASH_CHECK_TIMEOUT):
-                connection = await self._pool.acquire()
+            connection = await self._pool.acquire()
         except ConnectFailed as error:
             return error.is_absent
-        except TimeoutError:
-            return False
         await self._pool.release(connection)
         return False
 
@@ -174,10 +166,14 @@
         )
 
 
-async def _buffer_body(
+async def buffer_body(
     chunks: AsyncIterator[bytes],
 ) -> tuple[bytes, AsyncIterator[bytes] | None]:
-    """Read a complete body, or its start if it exceeds the buffer size."""
+    """Read a complete body, or its start if it exceeds the buffer size.
+
+    :param chunks: Chunks of the body.
+    :return: The part that was read, and the remaining chunks or ``None``.
+    """
     buffered = bytearray()
     async for chunk in chunks:
         buffered += chunk
@@ -186,7 +182,12 @@
     return bytes(buffered), None
 
 
-def _forwarded_headers(head: ResponseHead) -> list[tuple[bytes, bytes]]:
+def forwarded_headers(head: ResponseHead) -> list[tuple[bytes, bytes]]:
+    """Select the headers of a response that are forwarded to the caller.
+
+    :param head: Status and headers of the response.
+    :return: Headers that do not apply to a single connection only.
+    """
     named = {
         token.strip().lower()
         for name, field in head.headers
--- a/src/dogwoodmast/direct/call.py
+++ b/src/dogwoodmast/direct/call.py
@@ -8,6 +8,7 @@
 
 from dogwoodmast._asgi import RawHeaders
 from dogwoodmast.direct.catalog import Route
+from dogwoodmast.direct.relay_protocol import RelayedRequest
 from dogwoodmast.problem import Problem
 
 
@@ -40,6 +41,15 @@
     fingerprint: bytes = b''
     """Hash of host, method, path and body; equal when the request is
     repeated, so that requests that crash targets can be quarantined."""
+    relayed: RelayedRequest | None = None
+    """What the VM that took the request tells, if that is another one."""
+
+    @property
+    def max_attempts(self) -> int:
+        """Number of targets that the request may be sent to here."""
+        if self.relayed is None:
+            return max(self.route.max_attempts, 1)
+        return self.relayed.attempts_left
 
 
 @attrs.frozen
--- a/src/dogwoodmast/direct/catalog.py
+++ b/src/dogwoodmast/direct/catalog.py
@@ -108,6 +108,15 @@
         default=attrs.Factory(_routes_by_host, takes_self=True),
     )
 
+    def is_sharded(self, service: str) -> bool:
+        """Tell whether a service's keys are held by single targets.
+
+        :param service: Name of the service.
+        :return: Whether they are; false if the service is not known.
+        """
+        known = self.services.get(service)
+        return known is not None and known.sharded
+
     def select(self, host: str, path: str) -> Route | None:
         """Match a request to a route.
 
--- a/src/dogwoodmast/direct/coordinator.py
+++ b/src/dogwoodmast/direct/coordinator.py
@@ -18,6 +18,7 @@
 from dogwoodmast.direct.grant_state_machine import GrantStateMachine
 from dogwoodmast.direct.messages import LoadReport, ShardVersion, VmRecord
 from dogwoodmast.direct.named_limits import NamedLimits
+from dogwoodmast.direct.reach import ReachTracker
 from dogwoodmast.direct.shard_coordinator import ShardCoordinator
 from dogwoodmast.direct.table_distributor import TableDistributor
 from dogwoodmast.errors import PlatformError
@@ -42,6 +43,9 @@
 """Delay of a VM's campaign for each VM that is preferred to it, in
 seconds; a write to the store reaches the other VMs in less time, so that
 later VMs see a new coordinator before they campaign."""
+IMPAIRED_CAMPAIGN_DELAY = 2.0
+"""Further delay of the campaign of a VM that does not reach targets that others
+reach, in seconds; longer than those of most VMs by rank."""
 MAX_DIRECTORY_AGE = 2.0
 """Maximum age of the copy of the store for deciding whether the role is
 vacant, in seconds; copies that are kept up to date stay below it."""
@@ -69,6 +73,8 @@
     """Maximum time for which a target may be granted keys, in seconds."""
     limits: NamedLimits = attrs.field(factory=NamedLimits)
     """Rate limits that targets name."""
+    reach: ReachTracker = attrs.field(factory=ReachTracker)
+    """Which targets new connections reach."""
 
 
 class Coordinator:
@@ -107,7 +113,7 @@
                 vacant_since = None
                 continue
             vacant_since = now if vacant_since is None else vacant_since
-            if now >= vacant_since + self._rank() * CAMPAIGN_DELAY_PER_RANK:
+            if now >= vacant_since + self._campaign_delay():
                 await self._try_acquire(self._leadership.campaign)
                 vacant_since = None
 
@@ -118,7 +124,8 @@
 
     def _is_vacant(self, now: float) -> bool:
         return (
-            self._is_directory_current(now)
+            not self._is_cut_off()
+            and self._is_directory_current(now)
             and self._dependencies.directory.coordinator() is None
             and bool(self._sharded_services())
         )
@@ -135,6 +142,8 @@
         record = self._dependencies.directory.coordinator()
         if record is None or not self._is_directory_current(now):
             return False
+        if self._is_cut_off():
+            return False
         return self._leadership.is_own(record)
 
     def _sharded_services(self) -> list[str]:
@@ -148,6 +157,16 @@
         others = self._dependencies.directory.vms().values()
         return sum(one.preference < own for one in others)
 
+    def _campaign_delay(self) -> float:
+        """Return how long the role has to be vacant before this VM campaigns.
+
+        VMs that reach more targets come first.
+        """
+        delay = self._rank() * CAMPAIGN_DELAY_PER_RANK
+        if self._dependencies.reach.is_impaired:
+            delay += IMPAIRED_CAMPAIGN_DELAY
+        return delay
+
     async def _try_acquire(
         self, acquire: Callable[[], Awaitable[CoordinatorTerm | None]]
     ) -> None:
@@ -166,12 +185,30 @@
             tasks = await stack.enter_async_context(anyio.create_task_group())
             stack.callback(tasks.cancel_scope.cancel)
             tasks.start_soon(self._leadership.renew_until_lost, term)
+            was_impaired = self._dependencies.reach.is_impaired
             while self._leadership.term is term:
+                if self._should_resign(was_impaired=was_impaired):
+                    await self._leadership.resign()
+                    continue
                 await self._update_services(term, stack, tasks)
                 for one in self._shard_coordinators.values():
                     one.tick(tasks)
                 await anyio.sleep(TICK_INTERVAL)
 
+    def _should_resign(self, *, was_impaired: bool) -> bool:
+        """Tell whether another VM should coordinate, which reaches targets.
+
+        A VM that took the role although others may reach more targets keeps
+        it, so that the role does not go round.
+        """
+        reach = self._dependencies.reach
+        return self._is_cut_off() or (reach.is_impaired and not was_impaired)
+
+    def _is_cut_off(self) -> bool:
+        """Tell whether this VM reaches no target of some sharded service."""
+        reach = self._dependencies.reach
+        return any(map(reach.is_cut_off, self._sharded_services()))
+
     async def _update_services(
         self, term: CoordinatorTerm, stack: AsyncExitStack, tasks: TaskGroup
     ) -> None:
@@ -205,6 +242,7 @@
             dependencies.store,
             dependencies.clock,
             dependencies.limits,
+            dependencies.reach,
         )
 
     def _make_distributor(
--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -24,6 +24,7 @@
 from dogwoodmast.direct.process_monitor import ProcessMonitor
 from dogwoodmast.direct.rate_limiting import RateLimiting
 from dogwoodmast.direct.readiness import Readiness
+from dogwoodmast.direct.relaying import Relaying
 from dogwoodmast.direct.settings import DirectSettings, load_direct_settings
 from dogwoodmast.direct.shard_view import LoadReporter, ShardView
 from dogwoodmast.direct.source_selector import SourceSelector
@@ -109,11 +110,15 @@
             self._clock,
             self._timing,
         )
+        self._relaying = Relaying(
+            settings, self._directory, self._targets, self._clock
+        )
         self._dispatcher = Dispatcher(
             self._targets,
             self._view,
             self._clock,
             self._rates.gate,
+            self._relaying.dispatcher,
             self._bounds,
         )
         self._gateway = DirectGateway(
@@ -142,6 +147,7 @@
             stack.callback(tasks.cancel_scope.cancel)
             await stack.enter_async_context(self._links)
             stack.push_async_callback(self._targets.aclose)
+            stack.push_async_callback(self._relaying.aclose)
             await self._serve(tasks, signals)
         log_event(Event.VM_STOPPED, vm=self._record.name)
 
@@ -167,6 +173,7 @@
             self._clock,
             self._bounds.longest_hold,
             self._rates.limits,
+            self._targets.reach,
         )
         leadership = Leadership(self._record, self._store, self._clock)
         return Coordinator(parts, leadership)
@@ -213,6 +220,7 @@
             serve_links, listen.links, self._handlers, self._monitor.traffic
         )
         self._start_servers(tasks)
+        self._relaying.start(self._gateway, tasks)
         for task in (
             sync,
             registration,
@@ -248,7 +256,9 @@
                 targets = self._directory.targets(self._clock.monotonic())
                 vm_count = max(1, len(self._directory.vms()))
                 self._dispatcher.vm_count = vm_count
-                self._targets.update(targets, table, vm_count, tasks)
+                # VMs that relay their requests send targets none themselves.
+                senders = max(1, vm_count - self._relaying.origins)
+                self._targets.update(targets, table, senders, tasks)
                 self._rates.refresh()
                 self._server.config.timeout_keep_alive = int(
                     table.limits.idle_time
@@ -362,6 +372,7 @@
         self._server.request_shutdown()
         with anyio.move_on_after(stop_time - DEREGISTRATION_DELAY):
             await self._gateway.await_idle()
+            await self._relaying.stop()
             await self._server.await_closed()
             # Lets the last responses leave the sockets' buffers.
             await anyio.sleep(FLUSH_DELAY)
--- a/src/dogwoodmast/direct/dispatcher.py
+++ b/src/dogwoodmast/direct/dispatcher.py
@@ -6,14 +6,14 @@
 
 from __future__ import annotations
 
-import random
+import functools
 from typing import TYPE_CHECKING
 
 import anyio
 import attrs
 
 from dogwoodmast.clock import Clock
-from dogwoodmast.direct.admission_queue import Waiter, retry_delay, should_queue
+from dogwoodmast.direct.admission_queue import Waiter, should_queue
 from dogwoodmast.direct.attempt import Exchange
 from dogwoodmast.direct.call import (
     AttemptOutcome,
@@ -25,27 +25,25 @@
     Refused,
     Rejected,
 )
+from dogwoodmast.direct.progress import Progress, Unreachable
 from dogwoodmast.direct.rate_gate import Permit, RateDenied, RateGate
-from dogwoodmast.direct.rate_keeper import MIN_RATE
+from dogwoodmast.direct.rejections import NO_OWNER_RETRY_DELAY, Rejections
+from dogwoodmast.direct.relay_dispatcher import RelayDispatcher
 from dogwoodmast.direct.retry_budget import RetryBudget
 from dogwoodmast.direct.settings import Bounds
 from dogwoodmast.direct.shard_view import ShardView
 from dogwoodmast.direct.target_set import TargetSet
-from dogwoodmast.direct.trace import Trace
 from dogwoodmast.problem import Outcome, Problem, ProblemType
 from dogwoodmast.quarantine import Quarantine
 
 if TYPE_CHECKING:
     from dogwoodmast.direct.target_limiter import TargetLimiter
     from dogwoodmast.direct.target_set import Candidates
+    from dogwoodmast.direct.trace import Trace
 
 KEY_MOVE_TIMEOUT = 0.6
 """Longest time for which a request waits while its key moves to another
 target, in seconds; a move lasts until the running work on the key ends."""
-NO_OWNER_RETRY_DELAY = 0.3
-"""Base of the ``Retry-After`` when a key has no reachable holder, a service has
-no target, or the router gives up a request that has not run, in seconds; half
-of the time that a request waits for a move."""
 SIZE_SMOOTHING = 0.1
 """Weight of a new sample in the moving average of a route's response size."""
 RETRY_TIME_FACTOR = 1.0
@@ -53,28 +51,6 @@
 for a retry to be worthwhile."""
 
 
-@attrs.define(eq=False)
-class Progress:
-    """State of one request between its attempts."""
-
-    call: Call
-    """Request of the caller."""
-    trace: Trace
-    """Trace for the request log."""
-    tried: frozenset[str] = frozenset()
-    """Names of the targets that attempts were made at."""
-    reached_attempts: int = 0
-    """Number of attempts that reached a target, or may have reached it; only
-    retries after these are charged to the retry budget."""
-    may_have_run: bool = False
-    """Whether a finished attempt may have run the request."""
-    permit: Permit = Permit()
-    """Permit of the next attempt under the rate limit of its target."""
-    last_outcome: AttemptOutcome | None = None
-    """Outcome of the last attempt, ``Broken`` while one is in progress, or
-    ``None`` before the first."""
-
-
 @attrs.define(eq=False)
 class Dispatcher:
     """Runs requests at targets within the limits of load and deadline."""
@@ -83,6 +59,7 @@
     _shards: ShardView
     _clock: Clock
     _gate: RateGate
+    _relay: RelayDispatcher
     bounds: Bounds
     """Limits set by the platform contract.  The retry budget of a service keeps
     the limits that were in force at the first request for the service."""
@@ -90,9 +67,14 @@
     """Fingerprints of requests that are rejected since they crash targets."""
     vm_count: int = 1
     """Number of entry VMs that are up; they share the retry budget."""
-    _random: random.Random = attrs.field(factory=random.Random)
     _sizes: dict[str, float] = attrs.field(factory=dict)
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
+    _rejections: Rejections = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda self: Rejections(self._clock), takes_self=True
+        ),
+    )
 
     async def run(
         self, call: Call, deliver: Deliver, trace: Trace
@@ -107,14 +89,20 @@
         :raises ResponseTruncated: If a response broke off after its start was
             forwarded.
         """
-        self._retry_budget(call.service).record_request(self._clock.monotonic())
-        if call.shard_key is not None:
-            self._shards.count(call.service, call.shard_key)
+        if call.relayed is None:
+            self._count(call)
         progress = Progress(call, trace)
         time_left = call.deadline - self._clock.monotonic()
         with anyio.move_on_after(time_left):
             return await self._run(progress, deliver)
-        return self._give_up(progress, ProblemType.DEADLINE_EXCEEDED)
+        return self._rejections.give_up(progress, ProblemType.DEADLINE_EXCEEDED)
+
+    def _count(self, call: Call) -> None:
+        """Count a request at the VM that its caller sent it to."""
+        now = self._clock.monotonic()
+        self._retry_budget(call.service).record_request(now)
+        if call.shard_key is not None:
+            self._shards.count(call.service, call.shard_key)
 
     async def _run(
         self, progress: Progress, deliver: Deliver
@@ -124,6 +112,11 @@
                 rejected = self._reject_quarantined(progress)
                 return await self._finish(progress, rejected, deliver)
             limiter = await self._acquire_slot(progress)
+            if isinstance(limiter, Unreachable):
+                relayed = await self._relay.run(
+                    progress, limiter, deliver, self._may_spend_retry
+                )
+                return await self._finish(progress, relayed, deliver)
             if isinstance(limiter, Rejected):
                 return await self._finish(progress, limiter, deliver)
             progress.last_outcome = await self._send_attempt(
@@ -132,14 +125,16 @@
             if isinstance(progress.last_outcome, Delivered):
                 return progress.last_outcome
             if not self._may_retry(progress, limiter):
-                rejected = self._give_up(
+                rejected = self._rejections.give_up(
                     progress, _problem_of(progress.last_outcome)
                 )
                 return await self._finish(progress, rejected, deliver)
 
     def _reject_quarantined(self, progress: Progress) -> Rejected:
         if progress.may_have_run:
-            return self._give_up(progress, ProblemType.EXCHANGE_BROKEN)
+            return self._rejections.give_up(
+                progress, ProblemType.EXCHANGE_BROKEN
+            )
         return Rejected(Problem(ProblemType.QUARANTINED, Outcome.NOT_RUN))
 
     def _is_quarantined(self, call: Call) -> bool:
@@ -147,13 +142,18 @@
         return self.quarantine.is_quarantined(call.fingerprint, now)
 
     async def _finish(
-        self, progress: Progress, rejected: Rejected, deliver: Deliver
+        self,
+        progress: Progress,
+        result: Rejected | Delivered,
+        deliver: Deliver,
     ) -> Rejected | Delivered:
         """Forward the last attempt's 5xx response, if any, not a problem."""
-        if isinstance(progress.last_outcome, Failed):
+        if isinstance(result, Rejected) and isinstance(
+            progress.last_outcome, Failed
+        ):
             await deliver(progress.last_outcome.response)
             return Delivered(progress.last_outcome.response.status)
-        return rejected
+        return result
 
     async def _send_attempt(
         self, progress: Progress, limiter: TargetLimiter, deliver: Deliver
@@ -207,20 +207,22 @@
             case Refused():
                 limiter.on_no_response(now)
             case Failed():
-                self._record_possible_run(progress)
+                progress.on_possible_run()
                 limiter.on_failed(now)
             case Broken(_, has_crashed):
-                self._record_possible_run(progress)
+                progress.on_possible_run()
                 limiter.on_no_response(now)
                 if has_crashed:
-                    self.quarantine.on_crash(
-                        limiter.target.name, progress.call.fingerprint, now
+                    self._targets.reach.confirm(
+                        limiter.target.key,
+                        functools.partial(
+                            self.quarantine.on_crash,
+                            limiter.target.name,
+                            progress.call.fingerprint,
+                            now,
+                        ),
                     )
 
-    def _record_possible_run(self, progress: Progress) -> None:
-        progress.reached_attempts += 1
-        progress.may_have_run = True
-
     def _record_size(self, route: str, size: int) -> None:
         known = self._sizes.get(route, size)
         self._sizes[route] = known + (size - known) * SIZE_SMOOTHING
@@ -232,18 +234,20 @@
             return False
         if call.deadline - now < limiter.mean_latency * RETRY_TIME_FACTOR:
             return False
-        if len(progress.tried) >= max(call.route.max_attempts, 1):
+        if progress.reached_attempts >= call.max_attempts:
             return False
-        if not progress.reached_attempts:
-            return True
+        return not progress.reached_attempts or self._may_spend_retry(call)
+
+    def _may_spend_retry(self, call: Call) -> bool:
+        now = self._clock.monotonic()
         return self._retry_budget(call.service).try_spend(self.vm_count, now)
 
     async def _acquire_slot(
         self, progress: Progress
-    ) -> TargetLimiter | Rejected:
+    ) -> TargetLimiter | Rejected | Unreachable:
         while True:
             found = await self._try_acquire_slot(progress)
-            if isinstance(found, Rejected):
+            if isinstance(found, (Rejected, Unreachable)):
                 return found
             if found is not None and await self._has_permit(progress, found):
                 return found
@@ -270,7 +274,7 @@
 
     async def _try_acquire_slot(
         self, progress: Progress
-    ) -> TargetLimiter | Rejected | None:
+    ) -> TargetLimiter | Rejected | Unreachable | None:
         """Occupy a slot, queueing if necessary.
 
         :return: Limiter of the target, a rejection, or ``None`` if the queue
@@ -284,50 +288,46 @@
             else await self._await_holder(progress)
         )
         if candidates is None:
-            return self._reject(
+            return self._rejections.reject(
                 progress, ProblemType.NO_OWNER, NO_OWNER_RETRY_DELAY
             )
-        if not is_unkeyed and candidates.limiters[0].is_down(
+        reachable = candidates.within_reach(self._targets.reach)
+        if not reachable.limiters:
+            holder = candidates.limiters[0].target.key
+            return Unreachable(None if is_unkeyed else holder)
+        return await self._occupy_slot(progress, reachable)
+
+    async def _occupy_slot(
+        self, progress: Progress, reachable: Candidates
+    ) -> TargetLimiter | Rejected | None:
+        """Occupy a slot at one of the targets that this VM reaches."""
+        call = progress.call
+        is_unkeyed = call.shard_key is None
+        if not is_unkeyed and reachable.limiters[0].is_down(
             self._clock.monotonic()
         ):
-            return self._reject(
+            return self._rejections.reject(
                 progress, ProblemType.NO_OWNER, NO_OWNER_RETRY_DELAY
             )
         tried = progress.tried if is_unkeyed else frozenset()
-        untried = candidates.without(tried)
+        untried = reachable.without(tried)
         if not untried.limiters:
-            return self._give_up(progress, ProblemType.OVERLOADED)
+            return self._rejections.give_up(progress, ProblemType.OVERLOADED)
         usable = untried.within_rates(
             call.route.priority, self._clock.monotonic()
         )
         if not usable.limiters:
-            return self._reject_limited(progress, untried)
+            return self._rejections.reject_limited(
+                progress, untried, self._gate.limits
+            )
         size = self._sizes.get(call.route.name, 0)
         # A free slot belongs to the requests that already wait for one.
         limiter = self._targets.choose(usable, size)
-        if limiter is not None and not len(candidates.queue):
+        if limiter is not None and not len(usable.queue):
             limiter.in_flight += 1
             return limiter
         return await self._wait_in_queue(progress, usable, tried)
 
-    def _reject_limited(
-        self, progress: Progress, candidates: Candidates
-    ) -> Rejected:
-        """Reject a request for which all targets' rate limits are used up."""
-        now = self._clock.monotonic()
-        rates = self._gate.limits
-        latest = (progress.call.deadline - now) / 3
-        wait = min(
-            limiter.schedule_return(
-                1 / max(rates.rate(limiter.target.key), MIN_RATE), now
-            )
-            for limiter in candidates.limiters
-        )
-        # Callers honour a third of their time; a longer wait is drawn within
-        # it, so that they do not all return at its end.
-        wait = min(wait, latest * (1 + self._random.random()) / 3)
-        return self._reject(progress, ProblemType.TARGET_LIMITED, wait)
-
     async def _await_holder(self, progress: Progress) -> Candidates | None:
         """Wait until a target holds the key.
 
@@ -373,7 +373,9 @@
             wait, candidates.mean_latency, time_left, latency_objective
         ):
             progress.trace.on_wait(len(candidates.queue), wait)
-            return self._reject(progress, ProblemType.OVERLOADED, wait)
+            return self._rejections.reject(
+                progress, ProblemType.OVERLOADED, wait
+            )
         waiter = Waiter(call.route.priority, call.deadline, tried)
         candidates.queue.add(waiter)
         try:
@@ -389,45 +391,6 @@
         else:
             self._targets.release(waiter.limiter)
 
-    def _reject(
-        self, progress: Progress, kind: ProblemType, wait: float
-    ) -> Rejected:
-        """Reject a request for now, with a ``Retry-After`` if it has not run.
-
-        :param progress: State of the request.
-        :param kind: Problem, unless the request may have run.
-        :param wait: Expected time until a retry may succeed, in seconds.
-        :return: The rejection.
-        """
-        time_left = progress.call.deadline - self._clock.monotonic()
-        if progress.may_have_run:
-            return self._give_up(progress, ProblemType.EXCHANGE_BROKEN)
-        after = retry_delay(wait, time_left, self._random.random())
-        return Rejected(Problem(kind, Outcome.NOT_RUN, '', after))
-
-    def _give_up(self, progress: Progress, kind: ProblemType) -> Rejected:
-        """Reject a request after its last attempt or at its deadline.
-
-        A request that has certainly not run is always reported as overloaded,
-        so that the caller may retry it.
-
-        :param progress: State of the request.
-        :param kind: Problem that ended the request.  If the request may have
-            run, ``DEADLINE_EXCEEDED`` is reported as it is, and any other
-            problem as ``EXCHANGE_BROKEN``.
-        :return: The rejection.
-        """
-        is_uncertain = progress.may_have_run or isinstance(
-            progress.last_outcome, Broken
-        )
-        if is_uncertain:
-            if kind is not ProblemType.DEADLINE_EXCEEDED:
-                kind = ProblemType.EXCHANGE_BROKEN
-            return Rejected(Problem(kind, Outcome.MAY_HAVE_RUN))
-        return self._reject(
-            progress, ProblemType.OVERLOADED, NO_OWNER_RETRY_DELAY
-        )
-
     def _retry_budget(self, service: str) -> RetryBudget:
         found = self._retry_budgets.get(service)
         if found is None:
--- a/src/dogwoodmast/direct/gateway.py
+++ b/src/dogwoodmast/direct/gateway.py
@@ -17,6 +17,7 @@
 from dogwoodmast.direct.directory import Directory
 from dogwoodmast.direct.dispatcher import Dispatcher
 from dogwoodmast.direct.metrics import Metrics
+from dogwoodmast.direct.relay_protocol import RELAY_HEADERS, RelayedRequest
 from dogwoodmast.direct.sync_timing import SyncTiming
 from dogwoodmast.direct.trace import RequestLog, Trace
 from dogwoodmast.platform.headers import (
@@ -44,6 +45,9 @@
 """Bytes of request bodies that the VM holds in memory at a time; one sixth of
 the memory of the smallest VM in the platform contract."""
 
+_NEVER_FORWARDED = (
+    HOP_BY_HOP_HEADERS | REPLACED_HEADERS | RELAY_HEADERS | {b'expect'}
+)
 _BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
@@ -85,6 +89,19 @@
     _running: int = 0
     _idle: anyio.Event = attrs.field(factory=anyio.Event)
 
+    @property
+    def parts(
+        self,
+    ) -> tuple[Directory, Dispatcher, Clock, Metrics, SyncTiming]:
+        """Parts of the VM that another gateway of it is made of."""
+        return (
+            self._directory,
+            self._dispatcher,
+            self._clock,
+            self._metrics,
+            self._timing,
+        )
+
     @property
     def running(self) -> int:
         """Number of requests that are being served."""
@@ -129,6 +146,8 @@
         try:
             call = self._make_call(scope, selected, body, arrived_at)
             await self._run(call, selected.table, receive, send)
+        except RequestRejected as rejected:
+            await self._send_problem(send, rejected.problem)
         finally:
             self._buffered -= len(body)
 
@@ -170,12 +189,12 @@
     ) -> Call:
         route = selected.route
         fields = parse_request_headers(scope['headers'])
-        service = pick_service(route.weighted_services, self._random.random())
-        known = selected.table.services.get(service)
-        is_sharded = known is not None and known.sharded
-        host = _host(scope)
+        relayed = self._relayed_request(scope)
+        service = self._choose_service(route, relayed)
+        is_sharded = selected.table.is_sharded(service)
         method = scope['method'].encode('latin-1')
         path = _path(scope)
+        named = (_host(scope).encode(), method, path)
         return Call(
             attempt_id=fields.attempt_id or b'',
             route=route,
@@ -187,9 +206,22 @@
             body=body,
             arrived_at=arrived_at,
             deadline=arrived_at + _request_timeout(fields, route),
-            fingerprint=hash_parts((host.encode(), method, path), body),
+            fingerprint=hash_parts(named, body),
+            relayed=relayed,
         )
 
+    def _relayed_request(self, _scope: Scope) -> RelayedRequest | None:
+        """Return what another VM tells of a request that it relays."""
+
+    def _choose_service(
+        self, route: Route, _relayed: RelayedRequest | None
+    ) -> str:
+        return pick_service(route.weighted_services, self._random.random())
+
+    def _problem_headers(self, _problem: Problem, _service: str) -> RawHeaders:
+        """Return headers of a problem response that only some peers need."""
+        return []
+
     async def _run(
         self, call: Call, table: RouteTable, receive: Receive, send: Send
     ) -> None:
@@ -204,7 +236,7 @@
                 result = await self._dispatcher.run(call, delivery, trace)
                 tasks.cancel_scope.cancel()
             if isinstance(result, Rejected) and not delivery.has_started:
-                await self._send_problem(send, result.problem)
+                await self._send_problem(send, result.problem, call.service)
         finally:
             self._record_end(call, trace, result)
 
@@ -276,7 +308,9 @@
             await _send_chunk(send, chunk)
         await send({'type': 'http.response.body', 'body': b''})
 
-    async def _send_problem(self, send: Send, problem: Problem) -> None:
+    async def _send_problem(
+        self, send: Send, problem: Problem, service: str = ''
+    ) -> None:
         rendered = problem_response(problem)
         headers = [
             (header.name.encode(), header.value.encode())
@@ -288,6 +322,7 @@
             # Callers accept fractions; whole seconds would delay retries.
             seconds = f'{problem.retry_after:.3f}'
             headers.append((b'retry-after', seconds.encode()))
+        headers.extend(self._problem_headers(problem, service))
         headers.extend(self._closing_headers())
         await send_response(send, rendered.status, headers, rendered.body)
 
@@ -367,5 +402,5 @@
         if name == b'connection'
         for token in field.split(b',')
     }
-    dropped = HOP_BY_HOP_HEADERS | REPLACED_HEADERS | named | {b'expect'}
+    dropped = _NEVER_FORWARDED | named
     return [one for one in headers if one[0] not in dropped]
--- a/src/dogwoodmast/direct/messages.py
+++ b/src/dogwoodmast/direct/messages.py
@@ -24,6 +24,9 @@
     """Identifier of the process; it differs after every start."""
     capacity: float = 0
     """Bandwidth times processor share; only its order matters."""
+    relay: str = ''
+    """Address, as HOST:PORT, at which it runs requests that other entry VMs
+    relay; empty if it runs none."""
 
     @property
     def preference(self) -> tuple[float, str]:
--- /dev/null
+++ b/src/dogwoodmast/direct/progress.py
@@ -0,0 +1,45 @@
+"""State of one request between its attempts."""
+
+from __future__ import annotations
+
+import attrs
+
+from dogwoodmast.direct.call import AttemptOutcome, Call
+from dogwoodmast.direct.catalog import TargetKey
+from dogwoodmast.direct.rate_gate import Permit
+from dogwoodmast.direct.trace import Trace
+
+
+@attrs.frozen
+class Unreachable:
+    """This VM reaches none of the targets that may run a request."""
+
+    holder: TargetKey | None
+    """Target that holds the request's key, or ``None`` without a key."""
+
+
+@attrs.define(eq=False)
+class Progress:
+    """State of one request between its attempts."""
+
+    call: Call
+    """Request of the caller."""
+    trace: Trace
+    """Trace for the request log."""
+    tried: frozenset[str] = frozenset()
+    """Names of the targets that attempts were made at."""
+    reached_attempts: int = 0
+    """Number of attempts that reached a target, or may have reached it; only
+    retries after these are charged to the retry budget."""
+    may_have_run: bool = False
+    """Whether a finished attempt may have run the request."""
+    permit: Permit = Permit()
+    """Permit of the next attempt under the rate limit of its target."""
+    last_outcome: AttemptOutcome | None = None
+    """Outcome of the last attempt, ``Broken`` while one is in progress, or
+    ``None`` before the first."""
+
+    def on_possible_run(self) -> None:
+        """Record that an attempt has ended that may have run the request."""
+        self.reached_attempts += 1
+        self.may_have_run = True
--- a/src/dogwoodmast/direct/reach.py
+++ b/src/dogwoodmast/direct/reach.py
@@ -1,13 +1,15 @@
 """Which targets new connections of the entry VM reach.
 
-A VM may be cut off from all targets, or from some, while callers, the store
-and other VMs reach it.  A target that has ended looks the same as a cut
-between it and the VM; that the VM itself is cut off shows in several targets
-at once, and in none that can be connected to.
+A VM may be cut off from all targets, or from those of some services, while
+callers, the store and other VMs reach it.  A target that has ended looks the
+same as a cut between it and the VM; that the VM itself is cut off shows in
+several targets of a service at once, and in none that can be connected to.
 """
 
 from __future__ import annotations
 
+from collections import deque
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import attrs
@@ -16,50 +18,128 @@
 from dogwoodmast.events import Event, log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Iterable
+
+    from dogwoodmast.direct.catalog import Target
 
 CUT_TARGETS = 3
-"""Number of targets that cannot be connected to, with none in between that
-can, from which on the VM counts as cut off from all targets."""
+"""Number of targets of a service that cannot be connected to, with none in
+between that can, from which on the VM counts as cut off from the service."""
 HEALED_TARGETS = 2
 """Number of targets that can be connected to, with none in between that
 cannot, from which on it no longer does."""
+MIN_IMPAIRED_TARGETS = 2
+"""Smallest number of targets that other VMs reach and this one does not from
+which on it should leave coordinating to them."""
+IMPAIRED_FRACTION = 0.25
+"""The same as a fraction of all targets."""
+MAX_UNCONFIRMED = 64
+"""Number of actions that wait until it is known whether the VM is cut off."""
 
 
 @attrs.define(eq=False)
-class ReachTracker:
-    """State of the VM's connections to targets."""
-
-    _listed: frozenset[TargetKey] = frozenset()
-    _failing: set[TargetKey] = attrs.field(factory=set)
+class ServiceReach:
+    """Connections of the VM to the targets of one service."""
+
+    service: str
+    """Name of the service."""
+    listed: frozenset[TargetKey] = frozenset()
+    """Targets that may be sent requests."""
+    is_cut: bool = False
+    """Whether the VM counts as cut off from the service."""
     _failed_in_row: set[TargetKey] = attrs.field(factory=set)
     _reached_in_row: set[TargetKey] = attrs.field(factory=set)
-    _is_cut: bool = False
 
     @property
-    def is_cut(self) -> bool:
-        """Whether the VM counts as cut off from all targets."""
-        return self._is_cut
+    def is_suspicious(self) -> bool:
+        """Whether connections fail, and it is open whether all do."""
+        return bool(self._failed_in_row) and not self.is_cut
 
     @property
-    def failing(self) -> frozenset[TargetKey]:
-        """Targets to which the last new connection failed."""
-        return frozenset(self._failing)
+    def untested(self) -> frozenset[TargetKey]:
+        """Targets that did not fail since one could be connected to."""
+        return self.listed - self._failed_in_row
+
+    def update(self, listed: frozenset[TargetKey]) -> None:
+        """Apply a new list of targets.
+
+        :param listed: Targets that may be sent requests.
+        """
+        self.listed = listed
+        self._failed_in_row &= listed
+        self._reached_in_row &= listed
+        # With fewer targets, all of them may have ended.
+        if self.is_cut and len(listed) < CUT_TARGETS:
+            self.is_cut = False
+
+    def on_open(self, target: TargetKey) -> None:
+        """Record a connection that was opened.
+
+        :param target: Target incarnation.
+        """
+        self._failed_in_row.clear()
+        self._reached_in_row.add(target)
+        if self.is_cut and len(self._reached_in_row) >= HEALED_TARGETS:
+            self.is_cut = False
+            log_event(Event.TARGETS_REACHABLE, service=self.service)
+
+    def on_failed(self, target: TargetKey) -> None:
+        """Record a connection that could not be opened.
+
+        :param target: Target incarnation.
+        """
+        self._failed_in_row.add(target)
+        self._reached_in_row.clear()
+        if not self.is_cut and len(self._failed_in_row) >= CUT_TARGETS:
+            self.is_cut = True
+            log_event(
+                Event.TARGETS_UNREACHABLE,
+                service=self.service,
+                failing=len(self._failed_in_row),
+                listed=len(self.listed),
+            )
+
+
+@attrs.define(eq=False)
+class ReachTracker:
+    """State of the VM's connections to all targets."""
+
+    _services: dict[str, ServiceReach] = attrs.field(factory=dict)
+    _service_of: dict[TargetKey, ServiceReach] = attrs.field(factory=dict)
+    _failing: set[TargetKey] = attrs.field(factory=set)
+    _reached_elsewhere: set[TargetKey] = attrs.field(factory=set)
+    _unconfirmed: deque[tuple[TargetKey, Callable[[], None]]] = attrs.field(
+        factory=lambda: deque(maxlen=MAX_UNCONFIRMED)
+    )
 
     @property
-    def is_suspicious(self) -> bool:
-        """Whether connections fail, and it is open whether to all targets."""
-        return bool(self._failed_in_row) and not self._is_cut
+    def services(self) -> tuple[ServiceReach, ...]:
+        """State of each service that has targets."""
+        return tuple(self._services.values())
 
     @property
-    def untested(self) -> frozenset[TargetKey]:
-        """Listed targets that did not fail since one could be connected to."""
-        return self._listed - self._failed_in_row
+    def failing(self) -> frozenset[TargetKey]:
+        """Targets to which the last new connection failed."""
+        return frozenset(self._failing)
 
     @property
-    def listed(self) -> frozenset[TargetKey]:
-        """Targets that may be sent requests."""
-        return self._listed
+    def is_impaired(self) -> bool:
+        """Whether other VMs reach a considerable part of the targets that this
+        one does not reach."""
+        missed = len(self._reached_elsewhere)
+        return missed >= max(
+            MIN_IMPAIRED_TARGETS, len(self._service_of) * IMPAIRED_FRACTION
+        )
+
+    def is_cut_off(self, service: str) -> bool:
+        """Tell whether the VM is cut off from a service.
+
+        :param service: Name of the service.
+        :return: Whether several of its targets failed in a row, and no other
+            one has been reached since.
+        """
+        found = self._services.get(service)
+        return found is not None and found.is_cut
 
     def can_reach(self, target: TargetKey) -> bool:
         """Tell whether requests may be sent to a target from this VM.
@@ -67,17 +147,45 @@
         :param target: Target incarnation.
         :return: Whether neither the target nor the VM is known to be cut off.
         """
-        return not self._is_cut and target not in self._failing
+        service = self._service_of.get(target)
+        is_cut = service is not None and service.is_cut
+        return not is_cut and target not in self._failing
 
-    def update(self, targets: Collection[TargetKey]) -> None:
+    def update(self, targets: Iterable[Target]) -> None:
         """Apply a new list of targets.
 
         :param targets: Targets that may be sent requests.
         """
-        self._listed = frozenset(targets)
-        self._failing &= self._listed
-        self._failed_in_row &= self._listed
-        self._reached_in_row &= self._listed
+        by_service: dict[str, set[TargetKey]] = {}
+        for target in targets:
+            by_service.setdefault(target.service, set()).add(target.key)
+        for gone in self._services.keys() - by_service.keys():
+            self._services.pop(gone)
+        self._service_of = {}
+        for name, listed in by_service.items():
+            service = self._services.setdefault(name, ServiceReach(name))
+            service.update(frozenset(listed))
+            self._service_of.update(dict.fromkeys(listed, service))
+        self._failing &= self._service_of.keys()
+        self._reached_elsewhere &= self._service_of.keys()
+
+    def on_reached_elsewhere(self, target: TargetKey) -> None:
+        """Record that another VM has reached a target.
+
+        :param target: Target that this VM does not reach.
+        """
+        self._reached_elsewhere.add(target)
+
+    def confirm(self, target: TargetKey, action: Callable[[], None]) -> None:
+        """Act on the end of a target once it is known not to be a cut.
+
+        :param target: Target that seems to have ended.
+        :param action: Called when any target of its service can be connected
+            to; dropped when the VM turns out to be cut off from the service.
+        """
+        service = self._service_of.get(target)
+        if service is None or not service.is_cut:
+            self._unconfirmed.append((target, action))
 
     def on_connect(self, target: TargetKey, *, is_open: bool) -> None:
         """Record an attempt to open a connection.
@@ -85,31 +193,29 @@
         :param target: Target incarnation.
         :param is_open: Whether it succeeded.
         """
-        if target not in self._listed:
+        service = self._service_of.get(target)
+        if service is None:
             return
         if is_open:
-            self._on_open(target)
-        else:
-            self._on_failed(target)
-
-    def _on_open(self, target: TargetKey) -> None:
-        self._failing.discard(target)
-        self._failed_in_row.clear()
-        self._reached_in_row.add(target)
-        needed = min(HEALED_TARGETS, len(self._listed))
-        if self._is_cut and len(self._reached_in_row) >= needed:
-            self._is_cut = False
-            log_event(Event.TARGETS_REACHABLE, failing=len(self._failing))
-
-    def _on_failed(self, target: TargetKey) -> None:
+            self._failing.discard(target)
+            self._reached_elsewhere.discard(target)
+            was_cut = service.is_cut
+            service.on_open(target)
+            if not was_cut:
+                self._settle(service, is_cut=False)
+            return
         self._failing.add(target)
-        self._failed_in_row.add(target)
-        self._reached_in_row.clear()
-        needed = min(CUT_TARGETS, len(self._listed))
-        if not self._is_cut and len(self._failed_in_row) >= needed:
-            self._is_cut = True
-            log_event(
-                Event.TARGETS_UNREACHABLE,
-                failing=len(self._failing),
-                listed=len(self._listed),
-            )
+        service.on_failed(target)
+        if service.is_cut:
+            self._settle(service, is_cut=True)
+
+    def _settle(self, service: ServiceReach, *, is_cut: bool) -> None:
+        """Call or drop the actions that waited for news of a service."""
+        waiting = tuple(self._unconfirmed)
+        self._unconfirmed.clear()
+        for target, action in waiting:
+            known = self._service_of.get(target, service)
+            if known is not service:
+                self._unconfirmed.append((target, action))
+            elif not is_cut:
+                action()
--- /dev/null
+++ b/src/dogwoodmast/direct/rejections.py
@@ -0,0 +1,94 @@
+"""Rejections that the router ends requests with."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from dogwoodmast.clock import Clock
+from dogwoodmast.direct.admission_queue import retry_delay
+from dogwoodmast.direct.call import Broken, Rejected
+from dogwoodmast.direct.rate_keeper import MIN_RATE
+from dogwoodmast.problem import Outcome, Problem, ProblemType
+
+if TYPE_CHECKING:
+    from dogwoodmast.direct.named_limits import NamedLimits
+    from dogwoodmast.direct.progress import Progress
+    from dogwoodmast.direct.target_set import Candidates
+
+NO_OWNER_RETRY_DELAY = 0.3
+"""Base of the ``Retry-After`` when a key has no reachable holder, a service has
+no target, or the router gives up a request that has not run, in seconds; half
+of the time that a request waits for a move."""
+
+
+@attrs.define(eq=False)
+class Rejections:
+    """Builds rejections, with a ``Retry-After`` for what has not run."""
+
+    _clock: Clock
+    _random: random.Random = attrs.field(factory=random.Random)
+
+    def reject(
+        self, progress: Progress, kind: ProblemType, wait: float
+    ) -> Rejected:
+        """Reject a request for now, with a ``Retry-After`` if it has not run.
+
+        :param progress: State of the request.
+        :param kind: Problem, unless the request may have run.
+        :param wait: Expected time until a retry may succeed, in seconds.
+        :return: The rejection.
+        """
+        time_left = progress.call.deadline - self._clock.monotonic()
+        if progress.may_have_run:
+            return self.give_up(progress, ProblemType.EXCHANGE_BROKEN)
+        after = retry_delay(wait, time_left, self._random.random())
+        return Rejected(Problem(kind, Outcome.NOT_RUN, '', after))
+
+    def give_up(self, progress: Progress, kind: ProblemType) -> Rejected:
+        """Reject a request after its last attempt or at its deadline.
+
+        A request that has certainly not run is always reported as overloaded,
+        so that the caller may retry it.
+
+        :param progress: State of the request.
+        :param kind: Problem that ended the request.  If the request may have
+            run, ``DEADLINE_EXCEEDED`` is reported as it is, and any other
+            problem as ``EXCHANGE_BROKEN``.
+        :return: The rejection.
+        """
+        is_uncertain = progress.may_have_run or isinstance(
+            progress.last_outcome, Broken
+        )
+        if is_uncertain:
+            if kind is not ProblemType.DEADLINE_EXCEEDED:
+                kind = ProblemType.EXCHANGE_BROKEN
+            return Rejected(Problem(kind, Outcome.MAY_HAVE_RUN))
+        return self.reject(
+            progress, ProblemType.OVERLOADED, NO_OWNER_RETRY_DELAY
+        )
+
+    def reject_limited(
+        self, progress: Progress, candidates: Candidates, limits: NamedLimits
+    ) -> Rejected:
+        """Reject a request for which all targets' rate limits are used up.
+
+        :param progress: State of the request.
+        :param candidates: Targets that may run it.
+        :param limits: Rate limits that targets name.
+        :return: The rejection.
+        """
+        now = self._clock.monotonic()
+        latest = (progress.call.deadline - now) / 3
+        wait = min(
+            limiter.schedule_return(
+                1 / max(limits.rate(limiter.target.key), MIN_RATE), now
+            )
+            for limiter in candidates.limiters
+        )
+        # Callers honour a third of their time; a longer wait is drawn within
+        # it, so that they do not all return at its end.
+        wait = min(wait, latest * (1 + self._random.random()) / 3)
+        return self.reject(progress, ProblemType.TARGET_LIMITED, wait)
--- /dev/null
+++ b/src/dogwoodmast/direct/relay_exchange.py
@@ -0,0 +1,95 @@
+"""One attempt to run a request through another entry VM."""
+
+from __future__ import annotations
+
+import contextlib
+
+import attrs
+
+from dogwoodmast.clock import Clock
+from dogwoodmast.direct.attempt import buffer_body, forwarded_headers
+from dogwoodmast.direct.call import (
+    Broken,
+    Call,
+    Deliver,
+    Delivered,
+    Refused,
+    Response,
+    ResponseTruncated,
+)
+from dogwoodmast.direct.connection_pool import ConnectionPool
+from dogwoodmast.direct.relay_protocol import (
+    RelayedRequest,
+    RelayProblem,
+    parse_problem,
+)
+from dogwoodmast.direct.target_connection import (
+    OutgoingRequest,
+    TargetConnection,
+)
+from dogwoodmast.errors import ConnectFailed, ExchangeAborted
+from dogwoodmast.platform.headers import (
+    parse_response_headers,
+    remaining_time_header,
+)
+
+RelayOutcome = Refused | Broken | RelayProblem | Delivered
+
+
+@attrs.define(eq=False)
+class RelayExchange:
+    """Exchange of one relayed request and its response."""
+
+    call: Call
+    """Request of the caller."""
+    _request: RelayedRequest
+    _pool: ConnectionPool
+    _clock: Clock
+    _deliver: Deliver
+
+    async def run(self) -> RelayOutcome:
+        """Send the request and forward the response to the caller.
+
+        :return: Outcome; a complete response of a target is ``Delivered``,
+            also if its status is an error, since the other VM has made the
+            retries.
+        :raises ResponseTruncated: If the response broke off after its start
+            was forwarded.
+        """
+        try:
+            connection = await self._pool.acquire()
+        except ConnectFailed as error:
+            return Refused(error.message, was_sent=False)
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self._pool.release, connection)
+            try:
+                return await self._exchange(connection)
+            except ExchangeAborted as error:
+                return Broken(error.cause)
+
+    async def _exchange(self, connection: TargetConnection) -> RelayOutcome:
+        head = await connection.send_request(self._build_request())
+        body, rest = await buffer_body(connection.read_body())
+        problem = parse_problem(head.status, head.headers)
+        if problem is not None:
+            return problem
+        fields = parse_response_headers(head.headers)
+        if fields.attempt_id != self.call.attempt_id:
+            return Broken('response does not carry the attempt ID')
+        headers = forwarded_headers(head)
+        try:
+            await self._deliver(Response(head.status, headers, body, rest))
+        except ExchangeAborted as error:
+            raise ResponseTruncated(error.message) from error
+        return Delivered(head.status, len(body))
+
+    def _build_request(self) -> OutgoingRequest:
+        time_left = self.call.deadline - self._clock.monotonic()
+        headers = [
+            *self.call.headers,
+            *self._request.headers(),
+            remaining_time_header(time_left),
+        ]
+        return OutgoingRequest(
+            self.call.method, self.call.path, headers, self.call.body
+        )
--- /dev/null
+++ b/src/dogwoodmast/direct/relay_protocol.py
@@ -0,0 +1,124 @@
+"""Headers of requests that one entry VM relays through another.
+
+A VM that cannot reach a request's targets sends it to another VM, by HTTP and
+with these headers besides the caller's.  The other VM runs it like a request of
+its own callers, but never relays it again.
+"""
+
+from __future__ import annotations
+
+import types
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+import attrs
+
+from dogwoodmast.problem import Outcome, Problem, ProblemType
+
+if TYPE_CHECKING:
+    from dogwoodmast._asgi import RawHeaders
+
+_ORIGIN = b'dogwoodmast-relay-origin'
+_SERVICE = b'dogwoodmast-relay-service'
+_ATTEMPTS = b'dogwoodmast-relay-attempts'
+_PROBLEM = b'dogwoodmast-relay-problem'
+_OUTCOME = b'dogwoodmast-relay-outcome'
+_CUT = b'dogwoodmast-relay-cut'
+
+RELAY_HEADERS = frozenset((_ORIGIN, _SERVICE, _ATTEMPTS))
+"""Headers that only a relayed request has; those of callers are dropped."""
+
+_PROBLEMS_BY_SLUG = types.MappingProxyType(
+    {kind.slug: kind for kind in ProblemType}
+)
+
+
+@attrs.frozen
+class RelayedRequest:
+    """What the VM that took a request tells the one that it relays it to."""
+
+    origin: str
+    """Name of the VM that took the request."""
+    service: str
+    """Service that was chosen by the weights of the route's services."""
+    attempts_left: int
+    """Number of targets that the request may still be sent to."""
+
+    def headers(self) -> RawHeaders:
+        """Encode it as headers."""
+        return [
+            (_ORIGIN, self.origin.encode()),
+            (_SERVICE, self.service.encode()),
+            (_ATTEMPTS, b'%d' % self.attempts_left),
+        ]
+
+
+def parse_relayed_request(headers: RawHeaders) -> RelayedRequest | None:
+    """Parse the headers of a relayed request.
+
+    :param headers: Header names in lower case, with values.
+    :return: What they say, or ``None`` if one is missing or invalid.
+    """
+    by_name = dict(headers)
+    attempts = by_name.get(_ATTEMPTS, b'')
+    if not (attempts.isdigit() and _ORIGIN in by_name and _SERVICE in by_name):
+        return None
+    return RelayedRequest(
+        by_name[_ORIGIN].decode('latin-1'),
+        by_name[_SERVICE].decode('latin-1'),
+        int(attempts),
+    )
+
+
+@attrs.frozen
+class RelayProblem:
+    """Problem that the other VM ended a relayed request with."""
+
+    problem: Problem
+    """Problem as a caller would be told."""
+    is_cut: bool
+    """Whether that VM is cut off from the service too."""
+
+
+def problem_headers(problem: Problem, *, is_cut: bool) -> RawHeaders:
+    """Build the headers that tell a problem from a target's response.
+
+    :param problem: Problem that ends a relayed request.
+    :param is_cut: Whether this VM is cut off from the service.
+    :return: Headers of the response, besides ``retry-after``.
+    """
+    headers = [
+        (_PROBLEM, problem.type.slug.encode()),
+        (_OUTCOME, problem.outcome.encode()),
+    ]
+    if is_cut:
+        headers.append((_CUT, b'1'))
+    return headers
+
+
+def parse_problem(status: int, headers: RawHeaders) -> RelayProblem | None:
+    """Parse the problem in the response to a relayed request.
+
+    :param status: HTTP status.
+    :param headers: Header names in lower case, with values.
+    :return: Problem, or ``None`` if a target made the response.
+    """
+    by_name = dict(headers)
+    if _PROBLEM not in by_name:
+        return None
+    slug = by_name[_PROBLEM].decode('latin-1')
+    kind = _PROBLEMS_BY_SLUG.get(slug, ProblemType.EXCHANGE_BROKEN)
+    is_not_run = by_name.get(_OUTCOME) == Outcome.NOT_RUN.encode()
+    outcome = Outcome.NOT_RUN if is_not_run else Outcome.MAY_HAVE_RUN
+    retry_after = None
+    if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        retry_after = _parse_seconds(by_name.get(b'retry-after'))
+    problem = Problem(kind, outcome, '', retry_after)
+    return RelayProblem(problem, _CUT in by_name)
+
+
+def _parse_seconds(text: bytes | None) -> float | None:
+    try:
+        return float(text) if text else None
+    except ValueError:
+        return None
--- a/src/dogwoodmast/direct/settings.py
+++ b/src/dogwoodmast/direct/settings.py
@@ -68,6 +68,9 @@
     """Address for links from other entry VMs."""
     metrics: Address
     """Address for Prometheus scrapes (HTTP)."""
+    relay: Address | None = None
+    """Address for requests that other entry VMs relay (HTTP), or ``None`` to
+    run none."""
 
 
 @attrs.frozen
@@ -123,6 +126,7 @@
         readiness=reader.read('readiness', AddressText()),
         links=reader.read('links', AddressText()),
         metrics=reader.read('metrics', AddressText()),
+        relay=reader.read('relay', AddressText(), None),
     )
     reader.finish()
     return settings
--- a/src/dogwoodmast/direct/shard_coordinator.py
+++ b/src/dogwoodmast/direct/shard_coordinator.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING
 
 import anyio
@@ -42,7 +43,7 @@
     from anyio.abc import TaskGroup
 
     from dogwoodmast.clock import Clock
-    from dogwoodmast.direct.catalog import Target
+    from dogwoodmast.direct.catalog import Target, TargetKey
     from dogwoodmast.direct.grant_state_machine import TargetCall
     from dogwoodmast.direct.leadership import Leadership
     from dogwoodmast.direct.messages import (
@@ -52,6 +53,7 @@
         ShardVersion,
     )
     from dogwoodmast.direct.named_limits import NamedLimits
+    from dogwoodmast.direct.reach import ReachTracker
     from dogwoodmast.direct.shard import Shard
     from dogwoodmast.key_value import PolledStore
 
@@ -83,6 +85,7 @@
         store: PolledStore,
         clock: Clock,
         limits: NamedLimits,
+        reach: ReachTracker,
     ) -> None:
         """Create it without shards; ``load`` restores the stored ones.
 
@@ -93,12 +96,15 @@
         :param clock: Monotonic clock that also advances while the machine is
             suspended.
         :param limits: Rate limits that targets name.
+        :param reach: Which targets new connections reach; the calls' own
+            connections count too.
         """
         self._state_machine = state_machine
         self._leadership = leadership
         self._store = store
         self._clock = clock
         self._limits = limits
+        self._reach = reach
         self._loads = KeyLoads(LOAD_HALF_LIFE)
         self._planner = ShardPlanner(self._loads)
         self._latencies = TargetLatencies()
@@ -259,9 +265,16 @@
     def _get_control(self, target: Target) -> TargetControl:
         incarnation = (target.name, target.born)
         if incarnation not in self._controls:
-            self._controls[incarnation] = TargetControl(target, self._clock)
+            self._controls[incarnation] = TargetControl(
+                target,
+                self._clock,
+                functools.partial(self._on_connect, incarnation),
+            )
         return self._controls[incarnation]
 
+    def _on_connect(self, target: TargetKey, is_open: bool) -> None:
+        self._reach.on_connect(target, is_open=is_open)
+
     async def _record_assignments(self, shards: list[Shard]) -> None:
         assignments = tuple(
             one.assignment for one in self._state_machine.shards
--- a/src/dogwoodmast/direct/target_connection.py
+++ b/src/dogwoodmast/direct/target_connection.py
@@ -27,9 +27,10 @@
 
     from dogwoodmast.address import Address
 
-CONNECT_TIMEOUT = 0.5
-"""Time allowed to open a connection, in seconds; it covers a round trip
-between availability zones and one retransmission, after 0.2 s."""
+CONNECT_TIMEOUT = 0.25
+"""Time allowed to open a connection, in seconds; many round trips between
+availability zones.  Nothing has been sent before, so the request takes another
+way then."""
 TCP_USER_TIMEOUT_MS = 500
 """Value of the socket option ``TCP_USER_TIMEOUT``: time after which the kernel
 closes a connection whose sent bytes are not acknowledged, in milliseconds.
--- a/src/dogwoodmast/direct/target_control.py
+++ b/src/dogwoodmast/direct/target_control.py
@@ -27,6 +27,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from dogwoodmast.clock import Clock
     from dogwoodmast.direct.catalog import Target
 from dogwoodmast.direct.grant_state_machine import TargetCall
@@ -53,15 +55,24 @@
 class TargetControl:
     """Client for grant and release calls to one target incarnation."""
 
-    def __init__(self, target: Target, clock: Clock) -> None:
+    def __init__(
+        self,
+        target: Target,
+        clock: Clock,
+        on_connect: Callable[[bool], None] | None = None,
+    ) -> None:
         """Create the client; connections are opened on demand.
 
         :param target: Target to call.
         :param clock: Monotonic clock that also advances while the machine is
             suspended.
+        :param on_connect: Called after each attempt to open a connection, with
+            whether it succeeded.
         """
         self._target = target
-        self._pool = ConnectionPool(target.name, target.address, clock)
+        self._pool = ConnectionPool(
+            target.name, target.address, clock, on_connect
+        )
 
     async def call(self, request: TargetCall) -> ControlResult:
         """Make a call and wait for its answer.
--- a/src/dogwoodmast/direct/target_set.py
+++ b/src/dogwoodmast/direct/target_set.py
@@ -75,6 +75,21 @@
             ),
         )
 
+    def within_reach(self, reach: ReachTracker) -> Candidates:
+        """Return the candidates that this VM reaches.
+
+        :param reach: Which targets new connections reach.
+        :return: These candidates, with the same queue.
+        """
+        return attrs.evolve(
+            self,
+            limiters=tuple(
+                limiter
+                for limiter in self.limiters
+                if reach.can_reach(limiter.target.key)
+            ),
+        )
+
     @property
     def service_rate(self) -> float:
         """Estimated throughput of all targets for this VM, in requests/s."""
@@ -132,7 +147,7 @@
         :param tasks: Task group in which idle connections are closed.
         """
         listed = {one.key: one for one in targets.values() if not one.leaving}
-        self.reach.update(listed.keys())
+        self.reach.update(listed.values())
         for removed in self._limiters.keys() - listed.keys():
             self._limiters.pop(removed)
             self._drop_queue(f'target {removed[0]}')
@@ -198,6 +213,14 @@
             if limiter.target.service == service and limiter.baseline_latency
         }
 
+    def find_pool(self, target: TargetKey) -> ConnectionPool | None:
+        """Return the connection pool of a target by its key.
+
+        :param target: Target incarnation.
+        :return: Its pool, or ``None`` if the target was removed.
+        """
+        return self._pools.get(target)
+
     def pool(self, limiter: TargetLimiter) -> ConnectionPool | None:
         """Return the connection pool of a target.
 
--- a/src/dogwoodmast/direct/trace.py
+++ b/src/dogwoodmast/direct/trace.py
@@ -15,11 +15,13 @@
     Refused,
     Rejected,
 )
+from dogwoodmast.direct.relay_protocol import RelayProblem
 from dogwoodmast.events import Event, log_event
 
 if TYPE_CHECKING:
     from dogwoodmast.direct.call import Call
     from dogwoodmast.direct.catalog import Target
+    from dogwoodmast.direct.relay_exchange import RelayOutcome
 
 FAILURE_LINES_PER_SECOND = 40
 """Rate limit of log lines about failed requests, per VM and second."""
@@ -150,6 +152,28 @@
             }
         )
 
+    def on_relay(
+        self, peer: str, outcome: RelayOutcome, seconds: float
+    ) -> None:
+        """Record the end of an attempt through another entry VM.
+
+        :param peer: Name of the VM.
+        :param outcome: Outcome of the attempt.
+        :param seconds: Duration of the attempt, in seconds.
+        """
+        described = (
+            f'{outcome.problem.outcome}: {outcome.problem.type.slug}'
+            if isinstance(outcome, RelayProblem)
+            else _describe(outcome)
+        )
+        self._attempts.append(
+            {
+                'relay': peer,
+                'seconds': round(seconds, 3),
+                'outcome': described,
+            }
+        )
+
     def on_end(self, result: Rejected | Delivered | None) -> None:
         """Record how the request ended.
 
--- a/src/dogwoodmast/direct/vm_registration.py
+++ b/src/dogwoodmast/direct/vm_registration.py
@@ -45,6 +45,7 @@
         str(settings.listen.links),
         secrets.token_hex(INCARNATION_BYTES),
         settings.capacity,
+        str(settings.listen.relay or ''),
     )
 
 
--- a/src/dogwoodmast/idl/direct.thrift
+++ b/src/dogwoodmast/idl/direct.thrift
@@ -8,6 +8,7 @@
   3: string links,
   4: string incarnation,
   5: double capacity = 0,
+  6: string relay = "",
 }
 
 struct DirectoryItem {
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -201,6 +201,7 @@
         ('{{listen.front}}', '10.0.0.1:1'),
         ('{{listen.ready}}', '10.0.0.1:2'),
         ('{{internal_port_range.0}}', '3'),
+        ('{{internal_port_range.1}}', '4'),
         ('{{platform.address}}', '10.0.0.2:5'),
         ('{{.}}', '7'),
     ):
