End responses whose head or framing has no end

A target in trouble may send bytes that are no answer, without end. Five of the seven kinds of endless head held the request until its deadline and had the VM take up to 280 MB in a second (headers, one header, status line, empty lines, chunk extension); a body without end was bounded already: by flow control in memory, by the request's deadline in time.

Cause: the parser keeps an unfinished head, and nothing counted its bytes. What is not body is now bounded to 128 KB and a multiple of the body; beyond it the exchange fails and the connection is closed at once.

--- a/src/dogwoodmast/direct/target_connection.py
+++ b/src/dogwoodmast/direct/target_connection.py
@@ -40,6 +40,16 @@
 """Bytes of a body that are buffered before they are read; beyond that, reading
 from the socket pauses, so that flow control stops the target."""
 
+READ_SIZE = 262_144
+"""Bytes that the event loop passes on at a time at most; they may be body that
+is not parsed yet."""
+MAX_OVERHEAD_BYTES = 131_072
+"""Bytes of a response besides its body that are accepted, eight times the usual
+limit of callers' headers; more for bodies in small chunks."""
+OVERHEAD_PER_BODY_BYTE = 16
+"""Bytes of framing that are accepted for each byte of the body, as many as
+chunks of one byte with short extensions take."""
+
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
 _METHODS_WITHOUT_BODY = frozenset((b'GET', b'HEAD', b'DELETE', b'OPTIONS'))
 _LINGER_ZERO = struct.pack('ii', 1, 0)
@@ -220,6 +230,10 @@
             self._must_close = True
             return
         self._response.feed(data)
+        if self._response.failure:
+            # The target may go on sending for as long as it is read from.
+            self._must_close = True
+            self._transport.close()
 
     def eof_received(self) -> bool:
         """Handle the end of the data that the target sends.
@@ -258,6 +272,8 @@
         self._headers: RawHeaders = []
         self._waiter: asyncio.Future[None] | None = None
         self._size = 0
+        self._received = 0
+        self._body_size = 0
         self._is_paused = False
         self._ends_with_connection = False
         self._parser = httptools.HttpResponseParser(self)
@@ -279,6 +295,10 @@
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes, and pause reading if the buffer is full."""
+        self._received += len(data)
+        if self._has_too_much_overhead():
+            self.fail('response has no end')
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -292,6 +312,15 @@
             self._transport.pause_reading()
         self._wake()
 
+    def _has_too_much_overhead(self) -> bool:
+        overhead = self._received - self._body_size
+        return (
+            overhead
+            > MAX_OVERHEAD_BYTES
+            + READ_SIZE
+            + OVERHEAD_PER_BODY_BYTE * self._body_size
+        )
+
     def on_eof(self) -> None:
         """Handle a regular close by the target.
 
@@ -336,6 +365,7 @@
             return
         self.chunks.append(body)
         self._size += len(body)
+        self._body_size += len(body)
 
     def on_message_begin(self) -> None:
         """Rule out reuse if another response follows a complete one."""
--- a/tests/test_target_connection.py
+++ b/tests/test_target_connection.py
@@ -58,6 +58,10 @@
     def setsockopt(self, *_option: Any) -> None:
         """Ignore a socket option."""
 
+    def close(self) -> None:
+        """Close the transport."""
+        self.closed = True
+
     def pause_reading(self) -> None:
         """Ignore that the reader's buffer is full."""
 
