Let the soak name limits of targets, and cut VMs off from them

Both with invariants: windows of requests to a target that named a limit, and first tries at cut VMs against those at others. Each VM has paths of its own to the targets, since its server of the store lists them under other addresses.

--- a/tests/soak_environment.py
+++ b/tests/soak_environment.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 import os
 import pathlib
 import signal
@@ -18,6 +19,7 @@
 import attrs
 from anyio.abc import Process
 
+from cut_path import Cut, CutPath
 from direct_fleet import make_configuration, make_route
 from dogwoodmast.address import Address
 from faulty_path import FaultyPath, PathState
@@ -30,6 +32,7 @@
     UNSHARDED_TARGETS,
     VM_COUNT,
     ConfigurationChange,
+    CutInjection,
     PathInjection,
     ScheduledFault,
     SoakTargetFault,
@@ -38,7 +41,7 @@
     VmFault,
     VmInjection,
 )
-from soak_target import DRAIN_TIME, Observations, SoakTarget
+from soak_target import DRAIN_TIME, LIMIT, Observations, SoakTarget
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
@@ -48,9 +51,22 @@
 
 CALLER_COUNT = 2 * VM_COUNT
 """Number of concurrent callers."""
-ADDRESS_COUNT = 2 * (SHARDED_TARGETS + UNSHARDED_TARGETS) + 6 * VM_COUNT
+TARGET_COUNT = SHARDED_TARGETS + UNSHARDED_TARGETS
+"""Number of targets."""
+ADDRESS_COUNT = 2 * TARGET_COUNT + (6 + TARGET_COUNT) * VM_COUNT
 """Number of addresses of targets, their proxies, the VMs' listeners and the
 servers of the store."""
+LIMITED_TIME = 6.0
+"""Time for which a target names a limit, besides the duration of the fault, in
+seconds; long enough for some windows."""
+LIMIT_WINDOW = 4.0
+"""Length of the windows in which limits are checked, in seconds."""
+CONTACT_TIME = 3.0
+"""Time after the start of a limit or a cut from which on it is checked, in
+seconds; the platform's bound."""
+KNOWN_TIME = 1.0
+"""Time within which all VMs know of a limit, in seconds: a response, and half a
+second that the platform allows."""
 RECOVERY_TIMEOUT = 15.0
 """Time after the last fault within which every request must be served again, in
 seconds; the platform's bound."""
@@ -95,6 +111,8 @@
     """Address for callers."""
     store: StoreServer
     """Server of the store that only this VM uses."""
+    cuts: list[CutPath] = attrs.field(factory=list)
+    """Paths from this VM to all targets."""
     process: Process | None = None
     """Current process, or ``None`` before the first start."""
     started_at: float = 0
@@ -167,6 +185,9 @@
         factory=lambda: free_addresses(ADDRESS_COUNT)
     )
     """Addresses that are not assigned yet."""
+    limits: list[tuple[SoakTarget, float, float]] = attrs.field(factory=list)
+    """Targets that named a limit, with the monotonic times in seconds between
+    which they did."""
     active_subjects: set[object] = attrs.field(factory=set)
     """VMs, targets, paths and the store if a fault of theirs is active; a
     second fault of the same subject is skipped."""
@@ -190,6 +211,8 @@
                 apps.append((target, path.forward))
                 await stack.enter_async_context(path.serving())
                 self.list_target(target)
+            for cut in itertools.chain(*(vm.cuts for vm in self.vms)):
+                await stack.enter_async_context(cut.serving())
             apps.extend((vm.store, vm.store.address) for vm in self.vms)
             await stack.enter_async_context(serving(*apps))
             for vm in self.vms:
@@ -247,16 +270,22 @@
         :param callers: Callers, which are told of a new configuration.
         """
         await anyio.sleep(scheduled.start)
-        subject = _subject(scheduled)
         injection = scheduled.injection
         if isinstance(injection, VmInjection) and (
             injection.fault is VmFault.RELOAD
         ):
             self.vms[injection.vm].reload()
             return
+        subject = _subject(scheduled)
         if subject in self.active_subjects:
             return
         self.active_subjects.add(subject)
+        await self._inject(scheduled, callers)
+        self.active_subjects.discard(subject)
+
+    async def _inject(
+        self, scheduled: ScheduledFault, callers: SoakCallers
+    ) -> None:
         match scheduled.injection:
             case VmInjection(number, vm_fault):
                 await self._inject_vm_fault(
@@ -271,6 +300,8 @@
                 self.paths[number].change_state(state)
                 await anyio.sleep(scheduled.duration)
                 self.paths[number].change_state(PathState.OPEN)
+            case CutInjection(number, cut):
+                await self._cut_off(self.vms[number], cut, scheduled.duration)
             case StoreInjection(number, fault):
                 vms = self.vms if number is None else [self.vms[number]]
                 await _inject_store_fault(vms, fault, scheduled.duration)
@@ -278,7 +309,6 @@
                 self.version += 1
                 self.write_configuration()
                 callers.newest_version = self.version
-        self.active_subjects.discard(subject)
 
     async def _inject_vm_fault(
         self, vm: SoakVm, fault: VmFault, duration: float
@@ -297,11 +327,27 @@
                 await anyio.sleep(duration)
                 vm.process.send_signal(signal.SIGCONT)
 
+    async def _cut_off(self, vm: SoakVm, cut: Cut, duration: float) -> None:
+        for path in vm.cuts:
+            await path.change(cut)
+        await anyio.sleep(duration)
+        for path in vm.cuts:
+            await path.change(Cut.NONE)
+
+    async def _name_limit(self, target: SoakTarget, duration: float) -> None:
+        target.limited_since = time.monotonic()
+        await anyio.sleep(LIMITED_TIME + duration)
+        self.limits.append((target, target.limited_since, time.monotonic()))
+        target.limited_since = float('inf')
+
     async def _inject_target_fault(
         self, target: SoakTarget, fault: SoakTargetFault, duration: float
     ) -> None:
         path = self.paths[self.observations.targets.index(target)]
         key = f'servers/{target.name}'
+        if fault is SoakTargetFault.LIMIT:
+            await self._name_limit(target, duration)
+            return
         match fault:
             case SoakTargetFault.CRASH:
                 target.stop()
@@ -351,7 +397,17 @@
                 )
             )
             server = StoreServer(self.content, address=store)
-            self.vms.append(SoakVm(name, path, callers, server))
+            cuts = [
+                CutPath(self.addresses.pop(), path_to_target.listen)
+                for path_to_target in self.paths
+            ]
+            server.target_addresses = {
+                f'servers/{target.name}': str(cut.listen)
+                for target, cut in zip(
+                    self.observations.targets, cuts, strict=True
+                )
+            }
+            self.vms.append(SoakVm(name, path, callers, server, cuts))
 
 
 async def run_plan(
@@ -372,6 +428,7 @@
             return found
         async with anyio.create_task_group() as tasks:
             _start_callers(tasks, callers)
+            began = time.monotonic()
             async with anyio.create_task_group() as faults:
                 for scheduled in plan:
                     faults.start_soon(environment.inject, scheduled, callers)
@@ -386,6 +443,8 @@
         *check_response_times(plan, callers.calls),
         *check_graceful_stops(plan, callers.calls, environment.observations),
         *check_drains(plan, environment.observations),
+        *check_limits(plan, environment.limits),
+        *check_cut_vms(plan, began, callers.calls),
     ]
 
 
@@ -460,6 +519,80 @@
     return list(observations.late_requests)
 
 
+def check_limits(
+    plan: Sequence[ScheduledFault],
+    limits: Sequence[tuple[SoakTarget, float, float]],
+) -> list[Violation]:
+    """Check that VMs together keep the limits that targets name.
+
+    Plans that kill, stop or freeze VMs are exempt, since the platform does not
+    count what these send.
+
+    :param plan: Faults that were injected.
+    :param limits: Targets, and the times between which they named a limit.
+    :return: One violation for each window with too many requests.
+    """
+    if _vms_with(plan, {VmFault.KILL, VmFault.STOP, VmFault.FREEZE}):
+        return []
+    found = []
+    for target, since, until in limits:
+        at = since + CONTACT_TIME - LIMIT_WINDOW
+        while at + LIMIT_WINDOW <= until:
+            # Requests that were sent before the VMs knew are not counted.
+            start = max(at, since + KNOWN_TIME)
+            end = at + LIMIT_WINDOW
+            requests = sum(start <= one < end for one in target.arrivals)
+            if requests > 1.5 * LIMIT * LIMIT_WINDOW + 5:
+                detail = f'{target.name}: {requests} requests in a window'
+                found.append(Violation('limit is kept', detail))
+            at += 0.1
+    return found
+
+
+def check_cut_vms(
+    plan: Sequence[ScheduledFault], began: float, calls: Sequence[Call]
+) -> list[Violation]:
+    """Check that VMs that are cut off from targets serve their callers.
+
+    They have to be served two thirds as often as others, from ``CONTACT_TIME``
+    after the cut began.  Plans with other faults of VMs or the store, and those
+    that cut off all VMs, are exempt.
+
+    :param plan: Faults that were injected.
+    :param began: Monotonic time at which the plan began, in seconds.
+    :param calls: Calls that have ended.
+    :return: One violation for each cut whose callers were not served.
+    """
+    cuts = [
+        (one, f'vm{one.injection.vm}')
+        for one in plan
+        if isinstance(one.injection, CutInjection)
+    ]
+    cut_vms = {vm for _, vm in cuts}
+    if len(cut_vms) >= VM_COUNT or any(
+        isinstance(one.injection, VmInjection | StoreInjection) for one in plan
+    ):
+        return []
+    found = []
+    for cut, vm in cuts:
+        start = began + cut.start + CONTACT_TIME
+        end = began + cut.start + cut.duration
+        during = [one for one in calls if start <= one.began < end]
+        own = [one for one in during if one.entry == vm]
+        others = [one for one in during if one.entry not in cut_vms]
+        failed = sum(one.outcome is not CallOutcome.ANSWERED for one in own)
+        is_worse = _served_share(own) < _served_share(others) * 2 / 3
+        if is_worse and failed > 10 + len(during) / 50:
+            detail = f'{failed} of {len(own)} failed: {cut}'
+            found.append(Violation('cut VMs serve', detail))
+    return found
+
+
+def _served_share(calls: Sequence[Call]) -> float:
+    served = sum(one.outcome is CallOutcome.ANSWERED for one in calls)
+    return served / max(len(calls), 1)
+
+
 def _vms_with(plan: Sequence[ScheduledFault], kinds: set[VmFault]) -> set[str]:
     return {
         f'vm{scheduled.injection.vm}'
@@ -511,6 +644,8 @@
             return 'target', number
         case PathInjection(number, _):
             return 'path', number
+        case CutInjection(number, _):
+            return 'cut', number
         case StoreInjection():
             return 'store'
     return scheduled
--- a/tests/soak_plan.py
+++ b/tests/soak_plan.py
@@ -8,6 +8,7 @@
 import attrs
 from hypothesis import strategies as st
 
+from cut_path import Cut
 from faulty_path import PathState
 from metadata_store import StoreFault
 
@@ -47,6 +48,8 @@
     the duration."""
     DRAIN = 'drain'
     """It is listed as draining, ends, and is replaced by a new incarnation."""
+    LIMIT = 'limit'
+    """It names a rate limit in its responses, and enforces none."""
     VANISH = 'vanish'
     """Its listing is removed at once while it keeps running, as in a planned
     removal; later it is replaced by a new incarnation."""
@@ -82,6 +85,16 @@
     """State of the path for the duration."""
 
 
+@attrs.frozen
+class CutInjection:
+    """Cut between one VM and all targets."""
+
+    vm: int
+    """Number of the VM."""
+    cut: Cut
+    """How its connections to targets are cut for the duration."""
+
+
 @attrs.frozen
 class StoreInjection:
     """Injection of a fault into the metadata store."""
@@ -101,6 +114,7 @@
     VmInjection
     | TargetInjection
     | PathInjection
+    | CutInjection
     | StoreInjection
     | ConfigurationChange
 )
@@ -130,6 +144,11 @@
             [one for one in PathState if one is not PathState.OPEN]
         ),
     ),
+    st.builds(
+        CutInjection,
+        _vms,
+        st.sampled_from([one for one in Cut if one is not Cut.NONE]),
+    ),
     st.builds(
         StoreInjection,
         st.none() | _vms,
--- a/tests/soak_target.py
+++ b/tests/soak_target.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import anyio
 import attrs
@@ -14,6 +14,8 @@
 from history import Run, Violation
 
 if TYPE_CHECKING:
+    from collections.abc import MutableMapping
+
     from dogwoodmast._asgi import Receive, Scope, Send
 
 KEYS = tuple(range(1_000, 65_536, 5_000))
@@ -23,6 +25,8 @@
 WORK_TIME = 0.05
 """Time that a request takes, in seconds; long enough that some requests are
 running at any time."""
+LIMIT = 4.0
+"""Rate limit that targets name, in requests per second."""
 DRAIN_TIME = 2.0
 """Time after the start of draining from which a target must receive no new
 requests, in seconds."""
@@ -69,6 +73,11 @@
     """Start time of the incarnation in its listing; here a counter."""
     is_running: bool = True
     """Whether the current incarnation runs."""
+    limited_since: float = float('inf')
+    """Monotonic time in seconds from which the target names ``LIMIT``, infinite
+    while it names none."""
+    arrivals: list[float] = attrs.field(factory=list)
+    """Monotonic time in seconds of each request."""
     draining_since: float = float('inf')
     """Monotonic time in seconds from which ``DRAIN_TIME`` counts, infinite
     before draining begins."""
@@ -156,6 +165,9 @@
     async def _serve(
         self, method: str, headers: dict[str, str], send: Send
     ) -> None:
+        self.arrivals.append(time.monotonic())
+        if self.limited_since <= self.arrivals[-1]:
+            send = _naming_limit(send)
         key = int(headers['shard-key']) if self.sharded else None
         if len(self._running) >= 2 * SLOTS:
             await _respond(send, headers, 503)
@@ -228,6 +240,16 @@
         return True
 
 
+def _naming_limit(send: Send) -> Send:
+    async def send_with_limit(message: MutableMapping[str, Any]) -> None:
+        if message['type'] == 'http.response.start':
+            limit = (b'server-limit', b'%g' % LIMIT)
+            message = {**message, 'headers': [*message['headers'], limit]}
+        await send(message)
+
+    return send_with_limit
+
+
 def _keys_of(call: dict[str, int]) -> list[int]:
     return [key for key in KEYS if call['from'] <= key <= call['target']]
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,15 +14,19 @@
 import attrs
 import hypothesis
 
+from cut_path import Cut
 from history import Call, CallOutcome, Run, Violation
 from metadata_store import StoreFault
 from soak_environment import (
+    check_cut_vms,
     check_drains,
     check_graceful_stops,
+    check_limits,
     check_response_times,
     run_plan,
 )
 from soak_plan import (
+    CutInjection,
     ScheduledFault,
     SoakTargetFault,
     StoreInjection,
@@ -126,6 +130,28 @@
     assert not check_drains([DRAIN, outage], observations)
 
 
+def test_limit_that_is_exceeded_is_detected() -> None:
+    """The soak's check finds windows with too many requests."""
+    target = SoakTarget('a', False, Observations())
+    target.arrivals = [number / 20 for number in range(200)]
+    assert check_limits([], [(target, 0, 10)])
+    assert not check_limits([KILL], [(target, 0, 10)])
+    target.arrivals = [number / 5 for number in range(50)]
+    assert not check_limits([], [(target, 0, 10)])
+
+
+def test_cut_vm_that_serves_nobody_is_detected() -> None:
+    """The soak's check finds callers that only cut VMs do not serve."""
+    served = attrs.evolve(
+        CALL, entry='vm1', outcome=CallOutcome.ANSWERED, began=4
+    )
+    calls = [served, *(attrs.evolve(CALL, began=4) for _ in range(20))]
+    cut = ScheduledFault(0, 5, CutInjection(0, Cut.RESET))
+    assert check_cut_vms([cut], 0, calls)
+    assert not check_cut_vms([cut, FREEZE], 0, calls)
+    assert not check_cut_vms([cut], 0, [served for _ in range(20)])
+
+
 def test_key_with_two_holders_is_detected() -> None:
     """The soak's check finds keys that two running targets hold.
 
