Finish what runs on a key before the soak's stand-in answers its release

Suspected cause, since no log was kept: the planner moved the key, and the stand-in, unlike the platform's targets, dropped the hold of what was still running. The new test failed before, with 500.

--- a/tests/soak_target.py
+++ b/tests/soak_target.py
@@ -83,6 +83,7 @@
     before draining begins."""
     _holds: dict[int, tuple[int, float]] = attrs.field(factory=dict)
     _highest_fences: dict[int, int] = attrs.field(factory=dict)
+    _released: dict[int, float] = attrs.field(factory=dict)
     _running: set[anyio.CancelScope] = attrs.field(factory=set)
     _limit: anyio.CapacityLimiter = attrs.field(
         factory=lambda: anyio.CapacityLimiter(SLOTS)
@@ -156,7 +157,8 @@
 
     async def _release(self, call: dict[str, int], send: Send) -> None:
         for key in _keys_of(call):
-            self._holds.pop(key, None)
+            # What is running on the key goes on until its hold runs out.
+            self._released[key] = self._holds.pop(key, (0, 0))[1]
         while self._running:
             await anyio.sleep(0.005)
         headers = [(b'handover', b'h1'), (b'content-length', b'0')]
@@ -192,11 +194,15 @@
         if not is_held:
             await _respond(send, headers, 421)
             return
-        if key is not None and key not in self.held_keys():
+        if key is not None and not self._may_finish(key):
             await _respond(send, headers, 500)
             return
         await _respond(send, headers, 200, ran=True)
 
+    def _may_finish(self, key: int) -> bool:
+        released_until = self._released.get(key, 0)
+        return key in self.held_keys() or time.monotonic() < released_until
+
     async def _work(
         self, method: str, headers: dict[str, str], key: int | None
     ) -> bool:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -35,7 +35,7 @@
     VmInjection,
     plans,
 )
-from soak_target import KEYS, Observations, SoakTarget
+from soak_target import KEYS, WORK_TIME, Observations, SoakTarget
 
 if TYPE_CHECKING:
     from collections.abc import MutableMapping, Sequence
@@ -198,6 +198,31 @@
     assert not target.observations.runs
 
 
+def test_running_request_is_answered_though_its_key_is_released() -> None:
+    """The stand-in finishes what runs before it answers a release.
+
+    Guards against a fault of the stand-in itself: it answered such a request
+    with 500, which the soak saw as a request that a VM had cut off.
+    """
+    target = SoakTarget('a', True, Observations())
+    key = KEYS[0]
+    target._holds[key] = (1, float('inf'))
+    headers = {'request-attempt-id': 'r', 'shard-key': str(key)}
+    sent: list[MutableMapping[str, Any]] = []
+
+    async def send(message: MutableMapping[str, Any]) -> None:
+        sent.append(message)
+
+    async def release_while_running() -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(target._run, 'GET', headers, key, send)
+            await anyio.sleep(WORK_TIME / 2)
+            await target._release({'from': key, 'target': key}, send)
+
+    anyio.run(release_while_running)
+    assert [one['status'] for one in sent if 'status' in one] == [200, 200]
+
+
 def _first_violations(broken: list[Violation]) -> dict[str, str]:
     """Return the detail of the first violation of each invariant.
 
