--- a/src/dogwoodmast/direct/dispatcher.py
+++ b/src/dogwoodmast/direct/dispatcher.py
@@ -195,7 +195,10 @@
     ) -> None:
         now = self._clock.monotonic()
         progress.trace.on_attempt(limiter.target, outcome, now - started_at)
-        progress.tried |= {limiter.target.name}
+        name = limiter.target.name
+        progress.tried |= {name}
+        if not isinstance(outcome, Refused) or outcome.was_sent:
+            progress.reached_targets |= {name}
         match outcome:
             case Delivered(_, size):
                 self.quarantine.on_response(progress.call.fingerprint)
@@ -217,7 +220,7 @@
                         limiter.target.key,
                         functools.partial(
                             self.quarantine.on_crash,
-                            limiter.target.name,
+                            name,
                             progress.call.fingerprint,
                             now,
                         ),
@@ -234,7 +237,7 @@
             return False
         if call.deadline - now < limiter.mean_latency * RETRY_TIME_FACTOR:
             return False
-        if progress.reached_attempts >= call.max_attempts:
+        if len(progress.reached_targets) >= call.max_attempts:
             return False
         return not progress.reached_attempts or self._may_spend_retry(call)
 
--- a/src/dogwoodmast/direct/progress.py
+++ b/src/dogwoodmast/direct/progress.py
@@ -28,6 +28,8 @@
     """Trace for the request log."""
     tried: frozenset[str] = frozenset()
     """Names of the targets that attempts were made at."""
+    reached_targets: frozenset[str] = frozenset()
+    """Names of the targets that the request reached, or may have reached."""
     reached_attempts: int = 0
     """Number of attempts that reached a target, or may have reached it; only
     retries after these are charged to the retry budget."""
