Take a VM for cut off only after probes of other targets have failed

Failures of requests now only raise the suspicion; two probes of targets drawn from the others decide.

--- a/src/dogwoodmast/direct/reach.py
+++ b/src/dogwoodmast/direct/reach.py
@@ -22,9 +22,14 @@
 
     from dogwoodmast.direct.catalog import Target
 
-CUT_TARGETS = 3
-"""Number of targets of a service that cannot be connected to, with none in
-between that can, from which on the VM counts as cut off from the service."""
+CUT_PROBES = 2
+"""Number of targets that fail probes after another one has failed, with none in
+between that can be connected to, from which on the VM counts as cut off from
+the service.  Probed targets are drawn from all; those that requests failed at
+may have ended together."""
+MIN_TARGETS = 3
+"""Number of targets from which on a service can count as cut off; all of fewer
+may have ended."""
 HEALED_TARGETS = 2
 """Number of targets that can be connected to, with none in between that
 cannot, from which on it no longer does."""
@@ -48,6 +53,7 @@
     is_cut: bool = False
     """Whether the VM counts as cut off from the service."""
     _failed_in_row: set[TargetKey] = attrs.field(factory=set)
+    _failed_probes: set[TargetKey] = attrs.field(factory=set)
     _reached_in_row: set[TargetKey] = attrs.field(factory=set)
 
     @property
@@ -68,8 +74,8 @@
         self.listed = listed
         self._failed_in_row &= listed
         self._reached_in_row &= listed
-        # With fewer targets, all of them may have ended.
-        if self.is_cut and len(listed) < CUT_TARGETS:
+        self._failed_probes &= listed
+        if self.is_cut and len(listed) < MIN_TARGETS:
             self.is_cut = False
 
     def on_open(self, target: TargetKey) -> None:
@@ -78,6 +84,7 @@
         :param target: Target incarnation.
         """
         self._failed_in_row.clear()
+        self._failed_probes.clear()
         self._reached_in_row.add(target)
         if self.is_cut and len(self._reached_in_row) >= HEALED_TARGETS:
             self.is_cut = False
@@ -90,7 +97,18 @@
         """
         self._failed_in_row.add(target)
         self._reached_in_row.clear()
-        if not self.is_cut and len(self._failed_in_row) >= CUT_TARGETS:
+
+    def on_failed_probe(self, target: TargetKey) -> None:
+        """Record a target that was probed and could not be connected to.
+
+        :param target: Target incarnation.
+        """
+        self._failed_probes.add(target)
+        is_cut = (
+            len(self._failed_probes) >= CUT_PROBES
+            and len(self.listed) >= MIN_TARGETS
+        )
+        if is_cut and not self.is_cut:
             self.is_cut = True
             log_event(
                 Event.TARGETS_UNREACHABLE,
@@ -206,6 +224,16 @@
             return
         self._failing.add(target)
         service.on_failed(target)
+
+    def on_failed_probe(self, target: TargetKey) -> None:
+        """Record a probe that failed, after :meth:`on_connect`.
+
+        :param target: Target incarnation.
+        """
+        service = self._service_of.get(target)
+        if service is None:
+            return
+        service.on_failed_probe(target)
         if service.is_cut:
             self._settle(service, is_cut=True)
 
--- a/src/dogwoodmast/direct/target_prober.py
+++ b/src/dogwoodmast/direct/target_prober.py
@@ -114,7 +114,6 @@
             if pool is not None:
                 await pool.release(await pool.connect())
         except ConnectFailed:
-            # The pool has told the tracker.
-            return
+            self._targets.reach.on_failed_probe(target)
         finally:
             self._running.discard(target)
