--- a/tests/test_rate_budget.py
+++ b/tests/test_rate_budget.py
@@ -206,7 +206,7 @@
     ('limit', 'least_share'),
     [
         # Urgent requests are offered at two thirds of the limit.
-        (9, 0.9),
+        (9, 0.95),
         # They are offered at the limit.
         (6, 0.75),
     ],
