Do not take a cut from a part of a service's targets for one from all

Cause: two probes that failed with no success in between were proof that the VM is cut off from the whole service. With one zone of three cut, two targets drawn at random lie beyond the cut in up to four of nine draws. All targets of the service were out of use then, and the coordinator resigned. Ruled out: rate limits (none were named), quarantine (no rejection).

Now a service counts as cut off once each of its targets fails, and probes double from round to round until one succeeds, so that hundreds of targets are tested within 2.5 s. One that is reached is used at once.

tests/test_reach.py::test_cut_of_a_zone_ends_requests_to_the_reached_targets failed before at the second target that failed: the VM counted as cut off. The tests of CUT_PROBES are replaced: they demanded the sample that was wrong. test_cut_that_heals_flaps let a failure of another target prolong a cut; now two targets that are reached end it, one that fails again does not.

--- a/src/dogwoodmast/direct/reach.py
+++ b/src/dogwoodmast/direct/reach.py
@@ -2,8 +2,9 @@
 
 A VM may be cut off from all targets, or from those of some services, while
 callers, the store and other VMs reach it.  A target that has ended looks the
-same as a cut between it and the VM; that the VM itself is cut off shows in
-several targets of a service at once, and in none that can be connected to.
+same as a cut between it and the VM.  The VM itself counts as cut off from a
+service only once each of its targets has failed: when an availability zone is
+cut off, a part of the targets fails, and the others still serve.
 """
 
 from __future__ import annotations
@@ -22,17 +23,12 @@
 
     from dogwoodmast.direct.catalog import Target
 
-CUT_PROBES = 2
-"""Number of targets that fail probes after another one has failed, with none in
-between that can be connected to, from which on the VM counts as cut off from
-the service.  Probed targets are drawn from all; those that requests failed at
-may have ended together."""
 MIN_TARGETS = 3
 """Number of targets from which on a service can count as cut off; all of fewer
 may have ended."""
 HEALED_TARGETS = 2
-"""Number of targets that can be connected to, with none in between that
-cannot, from which on it no longer does."""
+"""Number of targets that can be connected to from which on it no longer
+does."""
 MIN_IMPAIRED_TARGETS = 2
 """Smallest number of targets that other VMs reach and this one does not from
 which on it should leave coordinating to them."""
@@ -52,9 +48,19 @@
     """Targets that may be sent requests."""
     is_cut: bool = False
     """Whether the VM counts as cut off from the service."""
+    _failing: set[TargetKey] = attrs.field(factory=set)
     _failed_in_row: set[TargetKey] = attrs.field(factory=set)
-    _failed_probes: set[TargetKey] = attrs.field(factory=set)
-    _reached_in_row: set[TargetKey] = attrs.field(factory=set)
+
+    @property
+    def failing(self) -> frozenset[TargetKey]:
+        """Targets to which the last new connection failed, and those that
+        were listed during a cut and not connected to yet."""
+        return frozenset(self._failing)
+
+    @property
+    def failed_in_row(self) -> int:
+        """Number of targets that failed since one could be connected to."""
+        return len(self._failed_in_row)
 
     @property
     def is_suspicious(self) -> bool:
@@ -71,10 +77,11 @@
 
         :param listed: Targets that may be sent requests.
         """
+        if self.is_cut:
+            self._failing |= listed - self.listed
         self.listed = listed
+        self._failing &= listed
         self._failed_in_row &= listed
-        self._reached_in_row &= listed
-        self._failed_probes &= listed
         if self.is_cut and len(listed) < MIN_TARGETS:
             self.is_cut = False
 
@@ -83,10 +90,10 @@
 
         :param target: Target incarnation.
         """
+        self._failing.discard(target)
         self._failed_in_row.clear()
-        self._failed_probes.clear()
-        self._reached_in_row.add(target)
-        if self.is_cut and len(self._reached_in_row) >= HEALED_TARGETS:
+        reached = len(self.listed) - len(self._failing)
+        if self.is_cut and reached >= HEALED_TARGETS:
             self.is_cut = False
             log_event(Event.TARGETS_REACHABLE, service=self.service)
 
@@ -95,25 +102,16 @@
 
         :param target: Target incarnation.
         """
+        self._failing.add(target)
         self._failed_in_row.add(target)
-        self._reached_in_row.clear()
-
-    def on_failed_probe(self, target: TargetKey) -> None:
-        """Record a target that was probed and could not be connected to.
-
-        :param target: Target incarnation.
-        """
-        self._failed_probes.add(target)
         is_cut = (
-            len(self._failed_probes) >= CUT_PROBES
-            and len(self.listed) >= MIN_TARGETS
+            len(self.listed) >= MIN_TARGETS and self._failing >= self.listed
         )
         if is_cut and not self.is_cut:
             self.is_cut = True
             log_event(
                 Event.TARGETS_UNREACHABLE,
                 service=self.service,
-                failing=len(self._failed_in_row),
                 listed=len(self.listed),
             )
 
@@ -124,7 +122,6 @@
 
     _services: dict[str, ServiceReach] = attrs.field(factory=dict)
     _service_of: dict[TargetKey, ServiceReach] = attrs.field(factory=dict)
-    _failing: set[TargetKey] = attrs.field(factory=set)
     _reached_elsewhere: set[TargetKey] = attrs.field(factory=set)
     _unconfirmed: deque[tuple[TargetKey, Callable[[], None]]] = attrs.field(
         factory=lambda: deque(maxlen=MAX_UNCONFIRMED)
@@ -137,8 +134,8 @@
 
     @property
     def failing(self) -> frozenset[TargetKey]:
-        """Targets to which the last new connection failed."""
-        return frozenset(self._failing)
+        """Targets that requests are not sent to from this VM."""
+        return frozenset().union(*(one.failing for one in self.services))
 
     @property
     def is_impaired(self) -> bool:
@@ -153,8 +150,7 @@
         """Tell whether the VM is cut off from a service.
 
         :param service: Name of the service.
-        :return: Whether several of its targets failed in a row, and no other
-            one has been reached since.
+        :return: Whether connections to all of its targets fail.
         """
         found = self._services.get(service)
         return found is not None and found.is_cut
@@ -163,11 +159,10 @@
         """Tell whether requests may be sent to a target from this VM.
 
         :param target: Target incarnation.
-        :return: Whether neither the target nor the VM is known to be cut off.
+        :return: Whether the last new connection to it did not fail.
         """
         service = self._service_of.get(target)
-        is_cut = service is not None and service.is_cut
-        return not is_cut and target not in self._failing
+        return service is None or target not in service.failing
 
     def update(self, targets: Iterable[Target]) -> None:
         """Apply a new list of targets.
@@ -184,7 +179,6 @@
             service = self._services.setdefault(name, ServiceReach(name))
             service.update(frozenset(listed))
             self._service_of.update(dict.fromkeys(listed, service))
-        self._failing &= self._service_of.keys()
         self._reached_elsewhere &= self._service_of.keys()
 
     def on_reached_elsewhere(self, target: TargetKey) -> None:
@@ -214,28 +208,16 @@
         service = self._service_of.get(target)
         if service is None:
             return
-        if is_open:
-            self._failing.discard(target)
-            self._reached_elsewhere.discard(target)
-            was_cut = service.is_cut
-            service.on_open(target)
-            if not was_cut:
-                self._settle(service, is_cut=False)
-            return
-        self._failing.add(target)
-        service.on_failed(target)
-
-    def on_failed_probe(self, target: TargetKey) -> None:
-        """Record a probe that failed, after :meth:`on_connect`.
-
-        :param target: Target incarnation.
-        """
-        service = self._service_of.get(target)
-        if service is None:
+        if not is_open:
+            service.on_failed(target)
+            if service.is_cut:
+                self._settle(service, is_cut=True)
             return
-        service.on_failed_probe(target)
-        if service.is_cut:
-            self._settle(service, is_cut=True)
+        self._reached_elsewhere.discard(target)
+        was_cut = service.is_cut
+        service.on_open(target)
+        if not was_cut:
+            self._settle(service, is_cut=False)
 
     def _settle(self, service: ServiceReach, *, is_cut: bool) -> None:
         """Call or drop the actions that waited for news of a service."""
--- a/src/dogwoodmast/direct/target_prober.py
+++ b/src/dogwoodmast/direct/target_prober.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import random
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import anyio
@@ -32,8 +33,9 @@
 FAILING_PROBE_INTERVAL = 0.5
 """Time between two probes of a target that fails, in seconds."""
 SUSPICION_PROBES = 2
-"""Targets that are probed at once after another one failed; with it they are
-as many as show that the VM is cut off."""
+"""Least number of targets that are probed at once after another one failed.
+As many as have failed in a row are probed, so that few are while others can be
+connected to, and a cut from hundreds of targets is known within seconds."""
 
 
 @attrs.define(eq=False)
@@ -71,7 +73,8 @@
                 cut |= service.listed
                 due.extend(self._due_while_cut(service, now))
             elif service.is_suspicious:
-                due.extend(self._draw(service.untested, SUSPICION_PROBES))
+                count = max(SUSPICION_PROBES, service.failed_in_row)
+                due.extend(self._draw(service.untested, count))
         due.extend(self._due_failing(reach.failing - cut, now))
         return [one for one in due if one not in self._running]
 
@@ -93,7 +96,7 @@
         if now < probed_at + CUT_PROBE_INTERVAL:
             return []
         self._cut_probed_at[service.service] = now
-        return self._draw(service.listed, 1)
+        return self._draw(service.failing, 1)
 
     def _draw(
         self, targets: frozenset[TargetKey], count: int
@@ -103,17 +106,31 @@
         wanted = min(len(idle), max(count - running, 0))
         return self._random.sample(idle, wanted)
 
-    def _start(self, tasks: TaskGroup, target: TargetKey) -> None:
+    def on_started(self, target: TargetKey) -> None:
+        """Record that a probe was started.
+
+        :param target: Target that is probed.
+        """
         self._running.add(target)
         self._probed_at[target] = self._clock.monotonic()
+
+    def on_ended(self, target: TargetKey) -> None:
+        """Record that a probe has ended.
+
+        :param target: Target that was probed.
+        """
+        self._running.discard(target)
+
+    def _start(self, tasks: TaskGroup, target: TargetKey) -> None:
+        self.on_started(target)
         tasks.start_soon(self._probe, target)
 
     async def _probe(self, target: TargetKey) -> None:
         pool = self._targets.find_pool(target)
         try:
             if pool is not None:
-                await pool.release(await pool.connect())
-        except ConnectFailed:
-            self._targets.reach.on_failed_probe(target)
+                # The pool tells the tracker of reach how the probe ended.
+                with suppress(ConnectFailed):
+                    await pool.release(await pool.connect())
         finally:
-            self._running.discard(target)
+            self.on_ended(target)
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -2,19 +2,27 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 import pytest
 
 from dogwoodmast.address import Address
+from dogwoodmast.clock import ManualClock
 from dogwoodmast.direct.catalog import Target, TargetKey
-from dogwoodmast.direct.reach import CUT_PROBES, HEALED_TARGETS, ReachTracker
+from dogwoodmast.direct.reach import HEALED_TARGETS, ReachTracker
+from dogwoodmast.direct.target_connection import CONNECT_TIMEOUT
+from dogwoodmast.direct.target_prober import CHECK_INTERVAL, TargetProber
+from dogwoodmast.direct.target_set import TargetSet
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
 ADDRESS = Address('10.0.0.1', 80)
 TARGETS = tuple((f's{number}', 1) for number in range(8))
+CUT_BUDGET = 2.5
+"""Time within which a VM has to know that it is cut off from all targets of a
+service, in seconds; callers have to be served through other VMs after 3 s."""
 OTHERS = tuple((f'o{number}', 1) for number in range(4))
 
 
@@ -42,58 +50,79 @@
     return tracker
 
 
-def fail_probe(reach: ReachTracker, target: TargetKey) -> None:
-    """Let a probe of a target fail.
+def fail_connection(reach: ReachTracker, target: TargetKey) -> None:
+    """Let a new connection to a target fail.
 
     :param reach: Tracker of the VM.
     :param target: Target that cannot be connected to.
     """
     reach.on_connect(target, is_open=False)
-    reach.on_failed_probe(target)
 
 
-def test_targets_that_end_together_look_like_a_cut(
+def test_cut_of_a_zone_ends_requests_to_the_reached_targets(
     reach: ReachTracker,
 ) -> None:
-    """Requests to them fail in a row; only probes of others tell a cut."""
-    for target in TARGETS[:5]:
-        reach.on_connect(target, is_open=False)
-    assert not reach.is_cut_off('s')
-    assert reach.can_reach(TARGETS[-1])
+    """Only the targets in other availability zones cannot be connected to."""
+    for target in TARGETS[:-1]:
+        fail_connection(reach, target)
+        assert not reach.is_cut_off('s')
+        assert reach.can_reach(TARGETS[-1])
+    assert not any(reach.can_reach(target) for target in TARGETS[:-1])
+    assert all(reach.can_reach(target) for target in OTHERS)
 
 
 def test_targets_that_ended_look_like_a_cut(reach: ReachTracker) -> None:
-    """Any other target that can be connected to disproves the cut."""
-    for target in TARGETS[: CUT_PROBES - 1]:
-        fail_probe(reach, target)
+    """Those that ended stay out of use, any other one is used."""
+    for target in TARGETS[:3]:
+        fail_connection(reach, target)
     reach.on_connect(TARGETS[-1], is_open=True)
-    fail_probe(reach, TARGETS[CUT_PROBES])
+    for target in TARGETS[3:5]:
+        fail_connection(reach, target)
     assert not reach.is_cut_off('s')
-    assert not reach.can_reach(TARGETS[0])
-    assert reach.can_reach(TARGETS[-1])
+    assert not any(reach.can_reach(target) for target in TARGETS[:5])
+    assert all(reach.can_reach(target) for target in TARGETS[5:])
 
 
-def test_cut_is_found_out_target_by_target(reach: ReachTracker) -> None:
-    """A few targets suffice to spare all others their time-outs."""
-    for target in TARGETS[:CUT_PROBES]:
-        fail_probe(reach, target)
+def test_cut_from_all_targets_is_taken_for_their_ends(
+    reach: ReachTracker,
+) -> None:
+    """A service whose targets all fail counts as cut off, others do not."""
+    for target in TARGETS:
+        assert not reach.is_cut_off('s')
+        fail_connection(reach, target)
     assert reach.is_cut_off('s')
     assert not any(reach.can_reach(target) for target in TARGETS)
     assert all(reach.can_reach(target) for target in OTHERS)
+    assert not reach.is_cut_off('o')
+
+
+def test_target_listed_during_a_cut_is_sent_requests(
+    reach: ReachTracker,
+) -> None:
+    """It is not used before it has been connected to."""
+    for target in TARGETS:
+        fail_connection(reach, target)
+    joined = ('s8', 1)
+    reach.update([*listing([*TARGETS, joined]), *listing(OTHERS, 'o')])
+    assert reach.is_cut_off('s')
+    assert not reach.can_reach(joined)
+    reach.on_connect(joined, is_open=True)
+    assert reach.can_reach(joined)
 
 
 def test_cut_that_heals_flaps(reach: ReachTracker) -> None:
-    """A single connection, or one between failures, does not end the cut."""
-    for target in TARGETS[:CUT_PROBES]:
-        fail_probe(reach, target)
+    """A single target, or one that fails again, does not end the cut."""
+    for target in TARGETS:
+        fail_connection(reach, target)
     reach.on_connect(TARGETS[-1], is_open=True)
-    reach.on_connect(TARGETS[0], is_open=False)
-    reach.on_connect(TARGETS[-2], is_open=True)
     assert reach.is_cut_off('s')
-    for target in TARGETS[-HEALED_TARGETS:]:
+    assert reach.can_reach(TARGETS[-1])
+    fail_connection(reach, TARGETS[-1])
+    for target in TARGETS[:HEALED_TARGETS]:
+        assert reach.is_cut_off('s')
         reach.on_connect(target, is_open=True)
     assert not reach.is_cut_off('s')
-    assert not reach.can_reach(TARGETS[0])
+    assert not reach.can_reach(TARGETS[-1])
 
 
 def test_few_targets_that_end_look_like_a_cut() -> None:
@@ -101,7 +130,7 @@
     reach = ReachTracker()
     reach.update(listing(TARGETS[:2]))
     for target in TARGETS[:2]:
-        fail_probe(reach, target)
+        fail_connection(reach, target)
         assert not reach.can_reach(target)
     assert not reach.is_cut_off('s')
 
@@ -110,11 +139,34 @@
     """A crash counts once another target can be connected to."""
     told: list[str] = []
     reach.confirm(TARGETS[0], lambda: told.append('cut'))
-    for target in TARGETS[:CUT_PROBES]:
-        fail_probe(reach, target)
+    for target in TARGETS:
+        fail_connection(reach, target)
     for target in TARGETS[-HEALED_TARGETS:]:
         reach.on_connect(target, is_open=True)
     assert not told
     reach.confirm(TARGETS[0], lambda: told.append('crash'))
     reach.on_connect(TARGETS[-1], is_open=True)
     assert told == ['crash']
+
+
+@pytest.mark.parametrize('count', [3, 26, 161])
+def test_cut_from_many_targets_is_found_out_late(count: int) -> None:
+    """All are probed within ``CUT_BUDGET``, although connections hang."""
+    clock = ManualClock()
+    targets = TargetSet('z', clock)
+    listed = listing((f's{number}', 1) for number in range(count))
+    reach = targets.reach
+    reach.update(listed)
+    prober = TargetProber(targets, clock)
+    fail_connection(reach, listed[0].key)
+    running: deque[tuple[float, TargetKey]] = deque()
+    while not reach.is_cut_off('s'):
+        assert clock.monotonic() < CUT_BUDGET
+        for target in prober.due_probes(clock.monotonic()):
+            prober.on_started(target)
+            running.append((clock.monotonic() + CONNECT_TIMEOUT, target))
+        clock.advance(CHECK_INTERVAL)
+        while running and running[0][0] <= clock.monotonic():
+            _, ended = running.popleft()
+            fail_connection(reach, ended)
+            prober.on_ended(ended)
