Notice line ends after a complete response, and close the connection

A target may send bytes after a response. Line ends alone left the connection in use: the parser skips them without a callback, so nothing told them from the response's own last line end. Bytes that came behind them later were parsed as the start of the next response. The last bytes of what was received are now parsed one by one if they are line ends.

--- a/src/dogwoodmast/direct/target_connection.py
+++ b/src/dogwoodmast/direct/target_connection.py
@@ -50,6 +50,10 @@
 """Bytes of framing that are accepted for each byte of the body, as many as
 chunks of one byte with short extensions take."""
 
+MAX_LINE_END_BYTES = 16
+"""Line ends at the end of received bytes that are parsed one by one, to tell
+those that end a response from those that follow it."""
+
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
 _METHODS_WITHOUT_BODY = frozenset((b'GET', b'HEAD', b'DELETE', b'OPTIONS'))
 _LINGER_ZERO = struct.pack('ii', 1, 0)
@@ -300,7 +304,7 @@
             self.fail('response has no end')
             return
         try:
-            self._parser.feed_data(data)
+            self._parse(data)
         except httptools.HttpParserUpgrade:
             self.fail('unexpected protocol upgrade')
         except httptools.HttpParserError as error:
@@ -312,6 +316,21 @@
             self._transport.pause_reading()
         self._wake()
 
+    def _parse(self, data: bytes) -> None:
+        """Pass bytes to the parser, and notice line ends after the response.
+
+        The parser skips line ends between two responses without a word.
+        """
+        line_ends = len(data) - len(data.rstrip(b'\r\n'))
+        start = len(data) - min(line_ends, MAX_LINE_END_BYTES)
+        if start:
+            self._parser.feed_data(data[:start])
+        for byte in data[start:]:
+            if self.is_complete:
+                self.can_reuse = False
+                return
+            self._parser.feed_data(bytes((byte,)))
+
     def _has_too_much_overhead(self) -> bool:
         overhead = self._received - self._body_size
         return (
--- a/tests/test_target_connection.py
+++ b/tests/test_target_connection.py
@@ -8,7 +8,7 @@
 
 import attrs
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from dogwoodmast.direct.target_connection import (
@@ -190,6 +190,9 @@
     st.binary(min_size=1, max_size=60)
     | st.just(make_response(b'late', 'length')),
 )
+@example(b'', 'length', b'\r')
+@example(b'', 'chunked', b'\n' * 40)
+@example(b'\n' * 40, 'length', b'\r\n')
 def test_bytes_after_an_answer_end_the_connection(
     body: bytes, framing: str, extra: bytes
 ) -> None:
