Let no signal end a process with an error after its stop

A VM that had finished all requests could still exit with -1 or -15: the event loop removes its signal handlers at its end, 0.1 s before that of the process, and a SIGHUP or a second SIGTERM then had its default effect. Cause shown by the masks and handlers in /proc while a VM stops: no handler from 3.003 to 3.116 s after SIGTERM. Blocking the signals instead was tried and did not help: the threads of the event loop's pool do not inherit it.

Handlers are now the process's own, and signals are ignored from the end of the stop on, so that there is no moment without either.

test_signal_during_a_stop_does_not_cut_it_short sends signals until the end of the process in two more cases; both failed before (-1, -15).

--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import signal
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 
@@ -27,6 +26,13 @@
 from dogwoodmast.direct.relaying import Relaying
 from dogwoodmast.direct.settings import DirectSettings, load_direct_settings
 from dogwoodmast.direct.shard_view import LoadReporter, ShardView
+from dogwoodmast.direct.signals import (
+    RELOAD_SIGNAL,
+    WATCHED_SIGNALS,
+    SignalStream,
+    ignore_signals,
+    receive_signals,
+)
 from dogwoodmast.direct.source_selector import SourceSelector
 from dogwoodmast.direct.sync_timing import SyncTiming
 from dogwoodmast.direct.target_set import TargetSet
@@ -45,12 +51,9 @@
 
 if TYPE_CHECKING:
     import pathlib
-    from collections.abc import AsyncIterator
 
     from anyio.abc import TaskGroup
 
-WATCHED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-"""Signals that stop the process or reload its settings."""
 REFRESH_INTERVAL = 0.5
 """Longest time between two updates of the targets, in seconds.  Store entries
 that expired during an outage are kept for a grace period, and its end gives
@@ -141,9 +144,7 @@
         isolate_uvicorn_logger()
         async with AsyncExitStack() as stack:
             # Open until the end: by default, SIGHUP ends a process at once.
-            signals = stack.enter_context(
-                anyio.open_signal_receiver(*WATCHED_SIGNALS)
-            )
+            signals = stack.enter_context(receive_signals(*WATCHED_SIGNALS))
             stack.push_async_callback(self._store.aclose)
             tasks = await stack.enter_async_context(anyio.create_task_group())
             stack.callback(tasks.cancel_scope.cancel)
@@ -151,11 +152,10 @@
             stack.push_async_callback(self._targets.aclose)
             stack.push_async_callback(self._relaying.aclose)
             await self._serve(tasks, signals)
+            ignore_signals(*WATCHED_SIGNALS)
         log_event(Event.VM_STOPPED, vm=self._record.name)
 
-    async def _serve(
-        self, tasks: TaskGroup, signals: AsyncIterator[signal.Signals]
-    ) -> None:
+    async def _serve(self, tasks: TaskGroup, signals: SignalStream) -> None:
         coordinator = self._make_coordinator()
         registration = VmRegistration(self._record, self._store)
         await self._start(tasks, coordinator, registration)
@@ -335,9 +335,9 @@
         table = self._directory.route_table
         return table.version if table else 0
 
-    async def _await_stop(self, signals: AsyncIterator[signal.Signals]) -> None:
+    async def _await_stop(self, signals: SignalStream) -> None:
         async for number in signals:
-            if number != signal.SIGHUP:
+            if number != RELOAD_SIGNAL:
                 break
             self._reload()
 
--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -19,12 +19,15 @@
 
 if TYPE_CHECKING:
     import pathlib
+    from collections.abc import Callable
 
     from dogwoodmast._asgi import Receive, Scope, Send
     from dogwoodmast.address import Address
 
 START_TIMEOUT = 10.0
 STOP_TIMEOUT = 8.0
+SIGNAL_INTERVAL = 0.001
+"""Pause between two signals to a process that stops, in seconds."""
 SLOW_READ_BYTES = 10_000
 """Bytes that a slow caller reads at a time."""
 
@@ -81,11 +84,38 @@
     return process.wait(STOP_TIMEOUT)
 
 
+def stop_with_many_signals(
+    process: subprocess.Popen[bytes], log: pathlib.Path, second: signal.Signals
+) -> int:
+    """Stop a process, and send it signals until it has ended.
+
+    :param process: Entry VM that has been started.
+    :param log: Output of the process.
+    :param second: Signal that follows on SIGTERM, again and again.
+    :return: Exit status.
+    """
+    wait_for_event(log, 'VM_STARTED')
+    process.send_signal(signal.SIGTERM)
+    end = time.monotonic() + STOP_TIMEOUT
+    while process.poll() is None:
+        assert time.monotonic() < end
+        process.send_signal(second)
+        time.sleep(SIGNAL_INTERVAL)
+    return process.returncode
+
+
+@pytest.mark.parametrize(
+    'stop', [stop_with_two_signals, stop_with_many_signals]
+)
 @pytest.mark.parametrize('second', [signal.SIGHUP, signal.SIGTERM])
 def test_signal_during_a_stop_does_not_cut_it_short(
-    tmp_path: pathlib.Path, second: signal.Signals
+    tmp_path: pathlib.Path,
+    second: signal.Signals,
+    stop: Callable[
+        [subprocess.Popen[bytes], pathlib.Path, signal.Signals], int
+    ],
 ) -> None:
-    """Settings change, or the stop is repeated, while a VM drains."""
+    """Settings change, or the stop is repeated, until the VM has ended."""
     settings = write_settings(tmp_path, free_address(), free_address())
     log = tmp_path / 'log'
     with log.open('wb') as output:
@@ -94,7 +124,7 @@
             stdout=output,
         )
     try:
-        status = stop_with_two_signals(process, log, second)
+        status = stop(process, log, second)
     finally:
         process.kill()
         process.wait()
