Do not end the process of a VM that was suspended during a pull

A VM whose answer to a pull lay unread while it was suspended, or its event loop was late, by more than 0.7 of the configuration's bound ended with 'ValueError: delay must be a non-negative number': all of its callers' open requests were cut off. Cause: the pause until the next pull is at most the time until this VM must read the store itself, and that was negative.

Now it does not pause then, and its next step reads the store. tests/test_sync_after_freeze.py failed before with this error for answers read after 1.7, 4 and 60 s.

--- a/src/dogwoodmast/direct/directory_sync.py
+++ b/src/dogwoodmast/direct/directory_sync.py
@@ -241,9 +241,9 @@
             return
         if self._is_acceptable(page, received_at):
             self._selector.on_success(source)
-            await anyio.sleep(
-                min(self._timing.pull_interval, self._time_left(received_at))
-            )
+            # None is left if this VM was suspended before it read the answer.
+            time_left = max(0, self._time_left(received_at))
+            await anyio.sleep(min(self._timing.pull_interval, time_left))
         else:
             await self._on_pull_failure(source, received_at)
 
