Choose ports of in-process test fleets below the ephemeral range

Cause: free_address let the kernel choose, from the range that it also takes for outgoing connections. The fleets of real processes already choose from ports below it; now all tests do.

--- a/tests/direct_fleet.py
+++ b/tests/direct_fleet.py
@@ -5,7 +5,6 @@
 import base64
 import contextlib
 import pathlib
-import socket
 import time
 from typing import TYPE_CHECKING, Any
 
@@ -25,6 +24,7 @@
     DirectSettings,
 )
 from dogwoodmast.settings import LogSettings, VmSettings
+from fleet import free_addresses
 from metadata_store import StoreContent, StoreServer, serving
 from platform_target import PlatformTarget
 
@@ -45,11 +45,11 @@
 def free_address() -> Address:
     """Find a loopback address whose port is free.
 
+    Outgoing connections do not take the port before it is listened on.
+
     :return: Address that nothing listened on when the port was probed.
     """
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return Address('127.0.0.1', probe.getsockname()[1])
+    return free_addresses(1)[0]
 
 
 def make_configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
