Let the soak's targets say that they leave, and ask for pauses when full

Targets that drain say so in all responses, also to grants, and refuse with a Retry-After of 0.3 s. Invariants: those that were there, among them that none is sent to 2 s after draining; there is none for pauses, since a target cannot tell the VMs apart.

--- a/tests/soak_target.py
+++ b/tests/soak_target.py
@@ -27,6 +27,8 @@
 running at any time."""
 LIMIT = 4.0
 """Rate limit that targets name, in requests per second."""
+PAUSE = 0.3
+"""Pause that a full target asks for, in seconds."""
 DRAIN_TIME = 2.0
 """Time after the start of draining from which a target must receive no new
 requests, in seconds."""
@@ -131,6 +133,7 @@
         body = await read_body(receive)
         if not self.is_running:
             raise ConnectionAbortedError
+        send = self._with_statements(send)
         is_other_instance = (
             headers.get('expected-instance', self.name) != self.name
         )
@@ -143,6 +146,29 @@
         else:
             await self._serve(scope['method'], headers, send)
 
+    def _with_statements(self, send: Send) -> Send:
+        """Add what the target says of itself to each of its responses."""
+
+        async def send_with_statements(
+            message: MutableMapping[str, Any],
+        ) -> None:
+            if message['type'] == 'http.response.start':
+                said = self._statements(message['status'])
+                message = {**message, 'headers': [*message['headers'], *said]}
+            await send(message)
+
+        return send_with_statements
+
+    def _statements(self, status: int) -> list[tuple[bytes, bytes]]:
+        said: list[tuple[bytes, bytes]] = []
+        if self.limited_since <= time.monotonic():
+            said.append((b'server-limit', b'%g' % LIMIT))
+        if self.draining_since < float('inf'):
+            said.append((b'server-leaving', b'1'))
+        if status == 503:
+            said.append((b'retry-after', b'%g' % PAUSE))
+        return said
+
     async def _grant(self, call: dict[str, int], send: Send) -> None:
         keys = _keys_of(call)
         fence = call['fence']
@@ -168,8 +194,6 @@
         self, method: str, headers: dict[str, str], send: Send
     ) -> None:
         self.arrivals.append(time.monotonic())
-        if self.limited_since <= self.arrivals[-1]:
-            send = _naming_limit(send)
         key = int(headers['shard-key']) if self.sharded else None
         if len(self._running) >= 2 * SLOTS:
             await _respond(send, headers, 503)
@@ -246,16 +270,6 @@
         return True
 
 
-def _naming_limit(send: Send) -> Send:
-    async def send_with_limit(message: MutableMapping[str, Any]) -> None:
-        if message['type'] == 'http.response.start':
-            limit = (b'server-limit', b'%g' % LIMIT)
-            message = {**message, 'headers': [*message['headers'], limit]}
-        await send(message)
-
-    return send_with_limit
-
-
 def _keys_of(call: dict[str, int]) -> list[int]:
     return [key for key in KEYS if call['from'] <= key <= call['target']]
 
