--- a/src/dogwoodmast/direct/attempt.py
+++ b/src/dogwoodmast/direct/attempt.py
@@ -22,13 +22,13 @@
 )
 from dogwoodmast.direct.connection_pool import ConnectionPool
 from dogwoodmast.direct.rate_gate import Permit
+from dogwoodmast.direct.statement_book import StatementBook
 from dogwoodmast.direct.target_connection import (
     OutgoingRequest,
     ResponseHead,
     TargetConnection,
 )
 from dogwoodmast.direct.target_limiter import TargetLimiter
-from dogwoodmast.direct.target_statements import StatementBook
 from dogwoodmast.errors import ConnectFailed, ExchangeAborted
 from dogwoodmast.platform.headers import (
     ResponseFields,
--- a/src/dogwoodmast/direct/coordinator.py
+++ b/src/dogwoodmast/direct/coordinator.py
@@ -19,8 +19,8 @@
 from dogwoodmast.direct.messages import LoadReport, ShardVersion, VmRecord
 from dogwoodmast.direct.reach import ReachTracker
 from dogwoodmast.direct.shard_coordinator import ShardCoordinator
+from dogwoodmast.direct.statement_book import StatementBook
 from dogwoodmast.direct.table_distributor import TableDistributor
-from dogwoodmast.direct.target_statements import StatementBook
 from dogwoodmast.errors import PlatformError
 from dogwoodmast.events import Event, log_event
 from dogwoodmast.key_value import PolledStore
--- a/src/dogwoodmast/direct/rate_limiting.py
+++ b/src/dogwoodmast/direct/rate_limiting.py
@@ -11,7 +11,7 @@
 from dogwoodmast.direct.named_limits import NamedLimits
 from dogwoodmast.direct.rate_gate import RateGate
 from dogwoodmast.direct.rate_keeper import RateKeeper
-from dogwoodmast.direct.target_statements import StatementBook
+from dogwoodmast.direct.statement_book import StatementBook
 from dogwoodmast.errors import LinkUnavailable
 
 if TYPE_CHECKING:
--- a/src/dogwoodmast/direct/rejections.py
+++ b/src/dogwoodmast/direct/rejections.py
@@ -11,7 +11,7 @@
 from dogwoodmast.direct.admission_queue import retry_delay
 from dogwoodmast.direct.call import Broken, Rejected
 from dogwoodmast.direct.rate_keeper import MIN_RATE
-from dogwoodmast.direct.target_statements import Leaving, Paused
+from dogwoodmast.direct.statement_book import Leaving, Paused
 from dogwoodmast.problem import Outcome, Problem, ProblemType
 
 if TYPE_CHECKING:
--- a/src/dogwoodmast/direct/relay_dispatcher.py
+++ b/src/dogwoodmast/direct/relay_dispatcher.py
@@ -31,7 +31,7 @@
     RelayedRequest,
     RelayProblem,
 )
-from dogwoodmast.direct.target_statements import StatementBook
+from dogwoodmast.direct.statement_book import StatementBook
 from dogwoodmast.problem import Outcome, Problem, ProblemType
 
 if TYPE_CHECKING:
--- a/src/dogwoodmast/direct/relay_exchange.py
+++ b/src/dogwoodmast/direct/relay_exchange.py
@@ -26,12 +26,12 @@
     parse_target,
     without_target,
 )
+from dogwoodmast.direct.statement_book import StatementBook
 from dogwoodmast.direct.target_connection import (
     OutgoingRequest,
     ResponseHead,
     TargetConnection,
 )
-from dogwoodmast.direct.target_statements import StatementBook
 from dogwoodmast.errors import ConnectFailed, ExchangeAborted
 from dogwoodmast.platform.headers import (
     parse_response_headers,
--- a/src/dogwoodmast/direct/shard_coordinator.py
+++ b/src/dogwoodmast/direct/shard_coordinator.py
@@ -55,7 +55,7 @@
     )
     from dogwoodmast.direct.reach import ReachTracker
     from dogwoodmast.direct.shard import Shard
-    from dogwoodmast.direct.target_statements import StatementBook
+    from dogwoodmast.direct.statement_book import StatementBook
     from dogwoodmast.key_value import PolledStore
 
 LOAD_HALF_LIFE = 0.9
--- a/src/dogwoodmast/direct/target_control.py
+++ b/src/dogwoodmast/direct/target_control.py
@@ -32,7 +32,7 @@
     from dogwoodmast.clock import Clock
     from dogwoodmast.direct.catalog import Target
     from dogwoodmast.direct.grant_state_machine import TargetCall
-    from dogwoodmast.direct.target_statements import StatementBook
+    from dogwoodmast.direct.statement_book import StatementBook
 
 GRANT_TIMEOUT = 0.6
 """Time limit for the answer to a grant, in seconds; less than half of the usual
--- a/src/dogwoodmast/direct/target_limiter.py
+++ b/src/dogwoodmast/direct/target_limiter.py
@@ -12,7 +12,7 @@
 import attrs
 
 from dogwoodmast.direct.catalog import Target
-from dogwoodmast.direct.target_statements import (
+from dogwoodmast.direct.statement_book import (
     TargetStatements,
     Unrestricted,
 )
--- a/src/dogwoodmast/direct/target_set.py
+++ b/src/dogwoodmast/direct/target_set.py
@@ -12,9 +12,9 @@
 from dogwoodmast.direct.admission_queue import AdmissionQueue
 from dogwoodmast.direct.connection_pool import ConnectionPool
 from dogwoodmast.direct.reach import ReachTracker
+from dogwoodmast.direct.statement_book import StatementBook
 from dogwoodmast.direct.target_choice import RoutingContext, choose_target
 from dogwoodmast.direct.target_limiter import TargetLimiter
-from dogwoodmast.direct.target_statements import StatementBook
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/tests/test_target_statements.py
+++ b/tests/test_target_statements.py
@@ -13,15 +13,7 @@
 from dogwoodmast.clock import ManualClock
 from dogwoodmast.direct.catalog import CallerLimits, RouteTable, Target
 from dogwoodmast.direct.rate_gate import Permit
-from dogwoodmast.direct.target_set import TargetSet
-from dogwoodmast.direct.target_statement import (
-    NoPause,
-    PauseRequest,
-    PauseStatement,
-    TargetStatement,
-    UnreadablePause,
-)
-from dogwoodmast.direct.target_statements import (
+from dogwoodmast.direct.statement_book import (
     MAX_DELAYED_LEVELS,
     MAX_REMEMBERED,
     PRIORITY_DELAY,
@@ -30,6 +22,14 @@
     StatementBook,
     Unrestricted,
 )
+from dogwoodmast.direct.target_set import TargetSet
+from dogwoodmast.direct.target_statement import (
+    NoPause,
+    PauseRequest,
+    PauseStatement,
+    TargetStatement,
+    UnreadablePause,
+)
 from dogwoodmast.platform.headers import parse_response_headers
 
 if TYPE_CHECKING:
