Give signals back to the process when several VMs of it have ended

A process in which two VMs ran, as in tests, could not be ended by SIGTERM or Ctrl-C once they had ended in the order of their start: each restored the handlers that it had found, so that the last one restored those of the first. Seen as a test run that outlived SIGTERM by 400 s. The default handlers are restored now, as the event loop did before.

test_handler_of_a_vm_that_was_cancelled_takes_later_signals failed before.

--- a/src/dogwoodmast/direct/signals.py
+++ b/src/dogwoodmast/direct/signals.py
@@ -12,7 +12,7 @@
 import anyio
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
     from types import FrameType
 
 RELOAD_SIGNAL = signal.SIGHUP
@@ -46,14 +46,13 @@
         received = signal.Signals(number)
         loop.call_soon_threadsafe(sender.send_nowait, received)
 
-    previous = {number: signal.signal(number, on_signal) for number in numbers}
+    for number in numbers:
+        signal.signal(number, on_signal)
     with sender, receiver:
         try:
             yield receiver
         finally:
-            for number, handler in previous.items():
-                if signal.getsignal(number) is on_signal:
-                    signal.signal(number, handler)
+            _restore_default_handlers(numbers)
 
 
 def ignore_signals(*numbers: signal.Signals) -> None:
@@ -63,3 +62,14 @@
     """
     for number in numbers:
         signal.signal(number, signal.SIG_IGN)
+
+
+def _restore_default_handlers(numbers: Iterable[signal.Signals]) -> None:
+    """Undo the handling of signals, unless they are ignored by now."""
+    for number in numbers:
+        is_interrupt = number is signal.SIGINT
+        if signal.getsignal(number) is not signal.SIG_IGN:
+            signal.signal(
+                number,
+                signal.default_int_handler if is_interrupt else signal.SIG_DFL,
+            )
--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+from contextlib import ExitStack
 from typing import TYPE_CHECKING
 
 import anyio
@@ -15,6 +16,7 @@
 
 from direct_fleet import free_address, is_listening
 from dogwoodmast._asgi import send_response
+from dogwoodmast.direct.signals import WATCHED_SIGNALS, receive_signals
 from dogwoodmast.http_server import make_http_server
 
 if TYPE_CHECKING:
@@ -132,6 +134,18 @@
     assert 'VM_STOPPED' in log.read_text()
 
 
+@pytest.mark.anyio
+async def test_handler_of_a_vm_that_was_cancelled_takes_later_signals() -> None:
+    """Two VMs of one process end in the order in which they began."""
+    first, second = ExitStack(), ExitStack()
+    for stack in (first, second):
+        stack.enter_context(receive_signals(*WATCHED_SIGNALS))
+    first.close()
+    second.close()
+    assert signal.getsignal(signal.SIGTERM) is signal.SIG_DFL
+    assert signal.getsignal(signal.SIGINT) is signal.default_int_handler
+
+
 @pytest.mark.anyio
 async def test_server_is_not_closed_before_a_slow_caller_has_its_response() -> (
     None
