Log when a copy of the store is older than the bound, and why

The log told when a version came into force and which source was read, but not what a VM waited for while its copy was too old: COPY_OUTDATED and COPY_CURRENT, and the gauge outdated_copies. What the log needs of the synchronisation moves to a class of its own. No logic changes.

--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -11,6 +11,7 @@
 from dogwoodmast.clock import BootClock
 from dogwoodmast.crash_notifier import CrashNotifier
 from dogwoodmast.direct.coordinator import Coordinator, CoordinatorDependencies
+from dogwoodmast.direct.copy_monitor import CopyMonitor
 from dogwoodmast.direct.directory import Directory
 from dogwoodmast.direct.directory_sync import (
     DirectorySync,
@@ -230,11 +231,19 @@
             coordinator,
             notifier,
             self._monitor,
+            self._make_copy_monitor(sync),
             self._rates,
         ):
             tasks.start_soon(task.run)
         tasks.start_soon(self._refresh, tasks)
 
+    def _make_copy_monitor(self, sync: DirectorySync) -> CopyMonitor:
+        monitor = CopyMonitor(
+            self._directory, sync.activity, self._clock, self._timing
+        )
+        monitor.add_gauges(self._metrics)
+        return monitor
+
     def _peer_addresses(self) -> list[Address]:
         return [
             Address.parse(vm.links)
@@ -328,7 +337,7 @@
         self._metrics.add_gauge(
             'source_changes',
             'Changes of the source of the copy of the store so far.',
-            lambda: sync.source_changes,
+            lambda: sync.activity.source_changes,
         )
 
     def _configuration_version(self) -> int:
--- a/src/dogwoodmast/direct/directory_sync.py
+++ b/src/dogwoodmast/direct/directory_sync.py
@@ -23,11 +23,11 @@
 )
 from dogwoodmast.direct.shard_view import ShardView
 from dogwoodmast.direct.source_selector import (
-    Source,
     SourceSelector,
     StoreSource,
     VmSource,
 )
+from dogwoodmast.direct.sync_activity import SyncActivity
 from dogwoodmast.errors import (
     HistoryLost,
     LinkError,
@@ -52,8 +52,6 @@
 slow store needs more than the first limit."""
 FUTILE_PULL_DELAY = 0.1
 """Pause after a VM without the store has pulled in vain, in seconds."""
-NO_SOURCE = 'none'
-"""Name, for the log, of the source before the first one."""
 
 
 @attrs.frozen
@@ -75,7 +73,7 @@
 class DirectorySync:
     """Task that keeps the copy of the store up to date.
 
-    Its attribute ``source_changes`` counts the changes of the source.
+    Its attribute ``activity`` tells what it is doing.
     """
 
     def __init__(
@@ -90,7 +88,7 @@
         :param dependencies: Components of the local entry VM.
         :param timing: Intervals and limits.
         """
-        self.source_changes = 0
+        self.activity = SyncActivity(dependencies.directory)
         self._timing = timing
         self._selector = selector
         self._directory = dependencies.directory
@@ -99,16 +97,7 @@
         self._links = dependencies.links
         self._clock = dependencies.clock
         self._listeners: list[Callable[[list[str]], None]] = []
-        self._store_failures = 0
         self._store_read_at = float('-inf')
-        self._source: Source | None = None
-        self._last_failure = 'start'
-        self._version_in_force = 0
-
-    @property
-    def source_name(self) -> str:
-        """Name of the VM that changes are read from, or ``store``."""
-        return self._source.name if self._source else NO_SOURCE
 
     @property
     def reads_store(self) -> bool:
@@ -139,7 +128,7 @@
                 now,
                 is_overdue=self._time_left(now) <= 0,
             )
-            self._on_source(source, now)
+            self.activity.on_attempt(source, now)
             match source:
                 case StoreSource():
                     await self._read_store(source, now)
@@ -152,21 +141,6 @@
         """Return the time until this VM has to read the store itself."""
         return self._timing.max_age - self._directory.age(now)
 
-    def _on_source(self, source: Source | None, now: float) -> None:
-        if source is None or source == self._source:
-            return
-        log_event(
-            Event.SOURCE_CHANGED,
-            previous=self.source_name,
-            source=source.name,
-            reason=self._last_failure,
-            revision=self._directory.revision,
-            age=round(self._directory.age(now), 3),
-        )
-        self._source = source
-        self.source_changes += 1
-        self._last_failure = 'an earlier source is tried again'
-
     async def _on_pull(self, _link: Link, message: DirectoryPull) -> object:
         page = self._directory.page_since(
             message.after,
@@ -189,8 +163,8 @@
         except PlatformError as error:
             self._on_store_failure(source, error)
             return
-        if self._store_failures:
-            self._store_failures = 0
+        if self.activity.store_failures:
+            self.activity.store_failures = 0
             log_event(Event.PLATFORM_BACK, revision=self._directory.revision)
         self._store_read_at = now
         self._selector.on_success(source)
@@ -203,9 +177,9 @@
         now = self._clock.monotonic()
         self._directory.on_outage(now)
         self._selector.on_failure(source, now)
-        self._last_failure = error.message
-        self._store_failures += 1
-        if self._store_failures == 1:
+        self.activity.last_failure = error.message
+        self.activity.store_failures += 1
+        if self.activity.store_failures == 1:
             age = round(self._directory.age(now), 3)
             log_event(Event.PLATFORM_FAILED, reason=error.message, age=age)
 
@@ -213,7 +187,7 @@
         revision = self._directory.revision
         if not revision:
             return await self._read_all(now)
-        limit = self._timing.read_timeout * 2**self._store_failures
+        limit = self._timing.read_timeout * 2**self.activity.store_failures
         try:
             page = await self._store.read_changes(
                 ALL_KEYS, revision, wait, min(limit, LONGEST_READ_TIMEOUT)
@@ -279,10 +253,10 @@
         that changes take few hops and no two VMs wait for each other.
         """
         if page.age > self._timing.max_source_age:
-            self._last_failure = f'copy is {page.age:.3f} s old'
+            self.activity.last_failure = f'copy is {page.age:.3f} s old'
             return False
         if page.is_relayed and not self._selector.is_store_suspect(now):
-            self._last_failure = 'copy is pulled from another VM'
+            self.activity.last_failure = 'copy is pulled from another VM'
             return False
         return True
 
@@ -300,25 +274,12 @@
         return answer if isinstance(answer, DirectoryPage) else None
 
     def _log_pull_failure(self, source: VmSource, reason: str) -> None:
-        self._last_failure = reason
+        self.activity.last_failure = reason
         log_event(Event.PULL_FAILED, peer=source.name, reason=reason)
 
     def _notify(self, changed: list[str]) -> None:
         if not changed:
             return
-        self._log_configuration()
+        self.activity.on_changes(self._clock.monotonic())
         for listener in self._listeners:
             listener(changed)
-
-    def _log_configuration(self) -> None:
-        table = self._directory.route_table
-        if table is None or table.version == self._version_in_force:
-            return
-        self._version_in_force = table.version
-        log_event(
-            Event.CONFIGURATION_IN_FORCE,
-            version=table.version,
-            revision=self._directory.revision,
-            source=self.source_name,
-            age=round(self._directory.age(self._clock.monotonic()), 3),
-        )
--- a/src/dogwoodmast/events.py
+++ b/src/dogwoodmast/events.py
@@ -44,6 +44,8 @@
     DIRECTORY_RELOADED = (404, logbook.INFO)
     LISTING_FAILED = (405, logbook.WARNING)
     SOURCE_CHANGED = (406, logbook.INFO)
+    COPY_OUTDATED = (407, logbook.WARNING)
+    COPY_CURRENT = (408, logbook.INFO)
     TARGET_LISTED = (410, logbook.INFO)
     TARGET_LEAVING = (411, logbook.INFO)
     TARGET_GONE = (412, logbook.INFO)
