--- a/tests/sync_simulation.py
+++ b/tests/sync_simulation.py
@@ -28,6 +28,7 @@
 from dogwoodmast.direct.sync_timing import SyncTiming
 from dogwoodmast.direct.target_set import TargetSet
 from dogwoodmast.errors import (
+    HistoryLost,
     LinkUnavailable,
     PlatformAnswerLost,
     PlatformRefused,
@@ -46,7 +47,7 @@
 from simulated_time import SimulatedClock
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Sequence
 
     from anyio.abc import TaskGroup
 
@@ -59,6 +60,11 @@
 """One-way delay between two entry VMs, in seconds."""
 SLOW_ANSWER_DELAY = 0.4
 """Delay of the answers of a slow VM, in seconds."""
+SLOW_STORE_DELAY = 0.9
+"""Delay of the answers of a slow store, in seconds; longer than the first time
+limit of a read."""
+MEASURING_INTERVAL = 0.01
+"""Resolution of measured delays, in seconds."""
 CONTACT_TIME = 3.0
 """Time after the end of a fault from which a VM has to keep the bound again,
 in seconds, as the contract says."""
@@ -78,6 +84,8 @@
     """The store does not answer it."""
     STORE_REFUSES = 'store-refuses'
     """The store refuses its calls."""
+    STORE_SLOW = 'store-slow'
+    """The store answers its calls late."""
 
 
 @attrs.define(eq=False)
@@ -94,6 +102,8 @@
     """Revision and time in seconds of each acknowledged write."""
     reads: list[float] = attrs.field(factory=list)
     """Time in seconds of each read of changes and each listing."""
+    forgotten_until: int = 0
+    """Revision up to which the history of changes is lost."""
     _changed: anyio.Event = attrs.field(factory=anyio.Event)
 
     def put(self, key: str, content: bytes, lease: int = 0) -> None:
@@ -134,6 +144,8 @@
 
     async def changes_since(self, after: int, wait: float) -> ChangePage:
         """Return the changes after a revision, and wait for one if needed."""
+        if after < self.forgotten_until:
+            raise HistoryLost(after)
         if self.revision <= after:
             with anyio.move_on_after(wait):
                 await self._changed.wait()
@@ -309,6 +321,10 @@
             raise PlatformAnswerLost('store')
         if self.fault is VmFault.STORE_REFUSES:
             raise PlatformRefused('store', 503)
+        if self.fault is VmFault.STORE_SLOW:
+            await anyio.sleep(min(SLOW_STORE_DELAY, timeout))
+            if timeout < SLOW_STORE_DELAY:
+                raise PlatformAnswerLost('store')
 
 
 @attrs.define(eq=False)
@@ -384,6 +400,29 @@
             tasks.start_soon(self._change_and_check, tasks)
             await anyio.sleep(seconds)
 
+    def set_fault(
+        self, fault: VmFault, vms: Sequence[SimulatedVm] | None = None
+    ) -> None:
+        """Give VMs a fault that ends no process.
+
+        :param fault: Fault that they have from now on.
+        :param vms: Entry VMs; all if they are not named.
+        """
+        for vm in self.vms if vms is None else vms:
+            vm.fault = fault
+
+    async def measure_delay(self) -> float:
+        """Change a key and wait until all VMs have the change.
+
+        :return: Time until the last VM had it, in seconds.
+        """
+        self.store.put('op/config', b'%d' % self.store.revision)
+        revision = self.store.revision
+        started_at = anyio.current_time()
+        while any(vm.directory.revision < revision for vm in self.vms):
+            await anyio.sleep(MEASURING_INTERVAL)
+        return anyio.current_time() - started_at
+
     async def _inject(
         self,
         tasks: TaskGroup,
--- /dev/null
+++ b/tests/test_sync_after_outage.py
@@ -0,0 +1,98 @@
+"""Time until entry VMs know of a change after reads of the store failed."""
+
+from __future__ import annotations
+
+import random
+
+import anyio
+import pytest
+
+from simulated_time import run_simulated
+from sync_simulation import CONTACT_TIME, SimulatedFleet, VmFault
+
+BOUND = 2.0
+"""Bound of the platform contracts, in seconds."""
+OUTAGES = (VmFault.STORE_SILENT, VmFault.STORE_REFUSES, VmFault.STORE_SLOW)
+SHAPES = ((1, 1), (4, 2), (3, 4), (5, 14))
+"""Numbers of zones, and of entry VMs in each."""
+SEEDS = 12
+
+
+def measure_after_outage(
+    shape: tuple[int, int],
+    fault: VmFault,
+    seed: int,
+    *,
+    forgets: bool = False,
+) -> float:
+    """Play an outage of the store for all VMs, and a change at its end.
+
+    :param shape: Number of zones, and of entry VMs in each.
+    :param fault: What the store does in the outage.
+    :param seed: Seed of the time and the length of the outage.
+    :param forgets: Whether the store loses its history in the outage.
+    :return: Time until all VMs have the change, in seconds.
+    """
+
+    async def scenario() -> float:
+        draw = random.Random(seed)
+        fleet = SimulatedFleet(BOUND)
+        fleet.add_vms(*shape)
+        async with fleet.running():
+            await anyio.sleep(draw.uniform(3, 5))
+            fleet.set_fault(fault)
+            await anyio.sleep(draw.uniform(0.2, 9))
+            fleet.set_fault(VmFault.NONE)
+            if forgets:
+                fleet.store.put('op/config', b'written before the loss')
+                fleet.store.forgotten_until = fleet.store.revision
+            return await fleet.measure_delay()
+
+    return run_simulated(scenario)
+
+
+@pytest.mark.parametrize('shape', SHAPES)
+@pytest.mark.parametrize('fault', OUTAGES)
+def test_read_begun_before_the_end_of_an_outage_delays_no_change(
+    shape: tuple[int, int], fault: VmFault
+) -> None:
+    """The store is back before the change; a read may still wait for it."""
+    delays = [measure_after_outage(shape, fault, seed) for seed in range(SEEDS)]
+    assert max(delays) <= BOUND
+
+
+@pytest.mark.parametrize('shape', SHAPES)
+def test_history_lost_in_an_outage_delays_no_change(
+    shape: tuple[int, int],
+) -> None:
+    """All keys have to be read anew after the outage."""
+    delays = [
+        measure_after_outage(shape, VmFault.STORE_SILENT, seed, forgets=True)
+        for seed in range(SEEDS)
+    ]
+    assert max(delays) <= BOUND
+
+
+@pytest.mark.parametrize('shape', SHAPES[1:])
+@pytest.mark.parametrize('fault', OUTAGES)
+@pytest.mark.parametrize('count', [1, 3])
+def test_vms_that_alone_lose_the_store_learn_of_changes_in_time(
+    shape: tuple[int, int], fault: VmFault, count: int
+) -> None:
+    """Other VMs have the change, and answer within milliseconds."""
+
+    async def scenario() -> list[float]:
+        draw = random.Random(count)
+        fleet = SimulatedFleet(BOUND)
+        fleet.add_vms(*shape)
+        delays: list[float] = []
+        async with fleet.running():
+            await anyio.sleep(CONTACT_TIME)
+            # Readers of zones come first.
+            fleet.set_fault(fault, fleet.vms[:count])
+            for _ in range(SEEDS):
+                await anyio.sleep(draw.uniform(0, 1))
+                delays.append(await fleet.measure_delay())
+        return delays
+
+    assert max(run_simulated(scenario)) <= BOUND
