Let no lost read of the store hold a VM up

Callers: requests were handled by a configuration that had been replaced more than 2.0 s before, at VMs whose read of the store was lost at the end of an outage, or that alone had lost the store.

Cause: the budget of the copy added up reads that succeed. A read without an answer held the VM for up to 1.5 s, then the store was skipped for 1 s; VMs whose copies had been old in the outage were skipped for up to 4 s although they answered. No step of this was bounded by what was left of the bound.

Pauses end when the store may be read, or the copy is overdue. An answer older than the copy changes nothing.

Ruled out: a shorter time limit alone (a slow store is then never read).

--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -190,7 +190,7 @@
         listen = self._settings.listen
         vm = self._settings.vm
         sync = DirectorySync(
-            SourceSelector(vm.name, vm.zone),
+            SourceSelector(vm.name, vm.zone, self._timing),
             SyncDependencies(
                 self._directory,
                 self._view,
--- a/src/dogwoodmast/direct/directory.py
+++ b/src/dogwoodmast/direct/directory.py
@@ -232,6 +232,8 @@
         :param requested_at: Monotonic time in seconds at which the read began.
         :return: Keys whose decoded value changed, including removed keys.
         """
+        if page.revision < self._revision:
+            return []
         changed: list[str] = []
         for change in page.changes:
             if change.value is None:
--- a/src/dogwoodmast/direct/directory_sync.py
+++ b/src/dogwoodmast/direct/directory_sync.py
@@ -27,13 +27,9 @@
     StoreSource,
     VmSource,
 )
+from dogwoodmast.direct.store_reader import StoreReader
 from dogwoodmast.direct.sync_activity import SyncActivity
-from dogwoodmast.errors import (
-    HistoryLost,
-    LinkError,
-    MalformedFrame,
-    PlatformError,
-)
+from dogwoodmast.errors import LinkError, MalformedFrame
 from dogwoodmast.events import Event, log_event
 from dogwoodmast.key_value import PolledStore
 from dogwoodmast.link_pool import LinkPool
@@ -41,15 +37,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from anyio.abc import TaskGroup
+
     from dogwoodmast.direct.sync_timing import SyncTiming
     from dogwoodmast.link import Link
     from dogwoodmast.message_handlers import MessageHandlers
 
-ALL_KEYS = ''
-"""Prefix that matches all keys of the store."""
-LONGEST_READ_TIMEOUT = 1.5
-"""Longest time limit for the store's answer beyond the wait, in seconds; a
-slow store needs more than the first limit."""
 FUTILE_PULL_DELAY = 0.1
 """Pause after a VM without the store has pulled in vain, in seconds."""
 
@@ -93,16 +86,22 @@
         self._selector = selector
         self._directory = dependencies.directory
         self._view = dependencies.view
-        self._store = dependencies.store
+        self._reader = StoreReader(
+            dependencies.directory,
+            dependencies.store,
+            dependencies.clock,
+            self.activity,
+            self._on_store_read,
+        )
         self._links = dependencies.links
         self._clock = dependencies.clock
         self._listeners: list[Callable[[list[str]], None]] = []
-        self._store_read_at = float('-inf')
+        self._futile_pulls = 0
 
     @property
     def reads_store(self) -> bool:
         """Whether the store was read lately, not only other VMs' copies."""
-        age = self._clock.monotonic() - self._store_read_at
+        age = self._clock.monotonic() - self._reader.read_at
         return age <= self._timing.max_source_age
 
     def subscribe(self, listener: Callable[[list[str]], None]) -> None:
@@ -121,21 +120,26 @@
 
     async def run(self) -> None:
         """Read changes from the selected source until cancelled."""
-        while True:
-            now = self._clock.monotonic()
-            source = self._selector.choose(
-                self._directory.vms().values(),
-                now,
-                is_overdue=self._time_left(now) <= 0,
-            )
-            self.activity.on_attempt(source, now)
-            match source:
-                case StoreSource():
-                    await self._read_store(source, now)
-                case VmSource():
-                    await self._pull(source, now)
-                case None:
-                    await anyio.sleep(self._timing.pull_interval)
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self._read_once(tasks)
+
+    async def _read_once(self, tasks: TaskGroup) -> None:
+        now = self._clock.monotonic()
+        source = self._selector.choose(
+            self._directory.vms().values(),
+            now,
+            is_overdue=self._time_left(now) <= 0,
+            can_read_store=self._reader.can_begin,
+        )
+        self.activity.on_attempt(source, now)
+        match source:
+            case StoreSource():
+                await self._read_store(source, tasks)
+            case VmSource():
+                await self._pull(source, now)
+            case None:
+                await self._await_store(self._timing.pull_interval)
 
     def _time_left(self, now: float) -> float:
         """Return the time until this VM has to read the store itself."""
@@ -156,50 +160,38 @@
             images=tuple(one for one in tables if isinstance(one, ShardImage)),
         )
 
-    async def _read_store(self, source: StoreSource, now: float) -> None:
-        wait = self._timing.long_poll_time if self._time_left(now) > 0 else 0
-        try:
-            changed = await self._read_changes(now, wait)
-        except PlatformError as error:
-            self._on_store_failure(source, error)
+    async def _read_store(self, source: StoreSource, tasks: TaskGroup) -> None:
+        is_overdue = self._time_left(self._clock.monotonic()) <= 0
+        wait = 0 if is_overdue else self._timing.long_poll_time
+        timeout = self._timing.read_timeout
+        if not self._directory.revision:
+            # Nothing else can be done without a copy.
+            timeout = float('inf')
+        elif is_overdue:
+            timeout = self._timing.overdue_timeout
+        read = self._reader.begin(tasks, wait)
+        with anyio.move_on_after(wait + timeout):
+            await read.ended.wait()
+        if read.has_succeeded:
+            await self._pause(self._timing.read_interval)
             return
-        if self.activity.store_failures:
-            self.activity.store_failures = 0
-            log_event(Event.PLATFORM_BACK, revision=self._directory.revision)
-        self._store_read_at = now
-        self._selector.on_success(source)
+        if not read.ended.is_set():
+            await self._reader.leave()
+        self._selector.on_failure(source, self._clock.monotonic())
+
+    async def _pause(self, seconds: float) -> None:
+        """Sleep, but not beyond the time at which the copy is overdue."""
+        time_left = self._time_left(self._clock.monotonic())
+        await anyio.sleep(min(seconds, max(0, time_left)))
+
+    async def _await_store(self, seconds: float) -> None:
+        """Sleep, but not beyond the time at which the store may be read."""
+        store_wait = self._selector.store_wait(self._clock.monotonic())
+        await anyio.sleep(min(seconds, store_wait or seconds))
+
+    def _on_store_read(self, changed: list[str]) -> None:
+        self._selector.on_success(StoreSource())
         self._notify(changed)
-        await anyio.sleep(self._timing.read_interval)
-
-    def _on_store_failure(
-        self, source: StoreSource, error: PlatformError
-    ) -> None:
-        now = self._clock.monotonic()
-        self._directory.on_outage(now)
-        self._selector.on_failure(source, now)
-        self.activity.last_failure = error.message
-        self.activity.store_failures += 1
-        if self.activity.store_failures == 1:
-            age = round(self._directory.age(now), 3)
-            log_event(Event.PLATFORM_FAILED, reason=error.message, age=age)
-
-    async def _read_changes(self, now: float, wait: float) -> list[str]:
-        revision = self._directory.revision
-        if not revision:
-            return await self._read_all(now)
-        limit = self._timing.read_timeout * 2**self.activity.store_failures
-        try:
-            page = await self._store.read_changes(
-                ALL_KEYS, revision, wait, min(limit, LONGEST_READ_TIMEOUT)
-            )
-        except HistoryLost as error:
-            log_event(Event.DIRECTORY_RELOADED, reason=error.message)
-            return await self._read_all(now)
-        return self._directory.on_changes(page, now)
-
-    async def _read_all(self, now: float) -> list[str]:
-        snapshot = await self._store.read_prefix(ALL_KEYS)
-        return self._directory.on_snapshot(snapshot, now)
 
     async def _pull(self, source: VmSource, now: float) -> None:
         page = await self._request_page(source, self._pull_timeout(now))
@@ -215,11 +207,11 @@
             return
         if self._is_acceptable(page, received_at):
             self._selector.on_success(source)
-            # None is left if this VM was suspended before it read the answer.
-            time_left = max(0, self._time_left(received_at))
-            await anyio.sleep(min(self._timing.pull_interval, time_left))
+            self._futile_pulls = 0
+            await self._pause(self._timing.pull_interval)
         else:
-            await self._on_pull_failure(source, received_at)
+            self._selector.on_stale(source, received_at)
+            await self._await_news(received_at)
 
     def _apply(
         self, page: DirectoryPage, requested_at: float, now: float
@@ -232,19 +224,29 @@
 
     async def _on_pull_failure(self, source: VmSource, now: float) -> None:
         self._selector.on_failure(source, now)
+        self._futile_pulls += 1
+        await self._await_news(now)
+
+    async def _await_news(self, now: float) -> None:
+        """Pause before the next source while the store cannot be read.
+
+        All VMs of a zone that is cut off ask each other in vain.
+        """
         if self._selector.is_store_suspect(now):
-            # All VMs of a zone that is cut off ask each other in vain.
-            await anyio.sleep(FUTILE_PULL_DELAY)
+            await self._await_store(FUTILE_PULL_DELAY)
 
     def _pull_timeout(self, now: float) -> float:
         """Return the time limit of a pull.
 
-        A pull ends in time for the VM to read the store itself, unless the
-        store has failed too.
+        A pull ends in time for the VM to read the store itself.  Once the copy
+        is overdue, a source that has not answered is soon left for another; the
+        limit grows again if none answers.
         """
-        if self._selector.is_store_suspect(now):
-            return self._timing.pull_timeout
-        return min(self._timing.pull_timeout, self._time_left(now))
+        time_left = self._time_left(now)
+        if time_left > 0:
+            return min(self._timing.pull_timeout, time_left)
+        limit: float = self._timing.overdue_timeout * 2**self._futile_pulls
+        return min(self._timing.pull_timeout, limit)
 
     def _is_acceptable(self, page: DirectoryPage, now: float) -> bool:
         """Check whether a VM may remain the source.
--- a/src/dogwoodmast/direct/sync_timing.py
+++ b/src/dogwoodmast/direct/sync_timing.py
@@ -7,6 +7,9 @@
 
 import attrs
 
+LONGEST_STORE_PAUSE = 1.0
+"""Longest time for which the store is not read whatever the bound is, in
+seconds."""
 LONGEST_BOUND = 4.0
 """Bound above which the intervals do not grow any more, in seconds, so that
 targets are discovered within a few seconds in any case."""
@@ -17,6 +20,9 @@
 _SOURCE_AGE_SHARE = 0.5
 _MAX_AGE_SHARE = 0.7
 _READ_TIMEOUT_SHARE = 0.25
+_OVERDUE_TIMEOUT_SHARE = 0.1
+_FIRST_STORE_PAUSE_SHARE = 0.25
+_LONGEST_STORE_PAUSE_SHARE = 0.5
 
 
 @attrs.define
@@ -39,9 +45,29 @@
 
     @property
     def read_timeout(self) -> float:
-        """Time limit for the store's answer beyond the wait, in seconds."""
+        """Time for which the store's answer is awaited beyond the long poll,
+        in seconds; other sources are tried after it."""
         return self._share(_READ_TIMEOUT_SHARE)
 
+    @property
+    def overdue_timeout(self) -> float:
+        """Time for which the answer of any source is awaited while the copy is
+        overdue, in seconds."""
+        return self._share(_OVERDUE_TIMEOUT_SHARE)
+
+    @property
+    def first_store_pause(self) -> float:
+        """Time for which the store is not read after a read without an answer,
+        in seconds; it doubles with each further one."""
+        first = self._share(_FIRST_STORE_PAUSE_SHARE)
+        return min(first, LONGEST_STORE_PAUSE / 2)
+
+    @property
+    def longest_store_pause(self) -> float:
+        """Longest time for which the store is not read, in seconds."""
+        longest = self._share(_LONGEST_STORE_PAUSE_SHARE)
+        return min(longest, LONGEST_STORE_PAUSE)
+
     @property
     def pull_interval(self) -> float:
         """Pause between two pulls from another entry VM, in seconds."""
--- a/src/dogwoodmast/key_value.py
+++ b/src/dogwoodmast/key_value.py
@@ -176,6 +176,9 @@
 class PolledStore(Store, Protocol):
     """Client of a key-value service that is polled for changes."""
 
+    async def aclose(self) -> None:
+        """Close idle connections; calls in progress go on."""
+
     async def read_changes(
         self, prefix: str, after: int, wait: float, timeout: float
     ) -> ChangePage:
--- a/tests/sync_simulation.py
+++ b/tests/sync_simulation.py
@@ -187,7 +187,12 @@
         self.view = ShardView()
         self._handlers = MessageHandlers()
         sync = DirectorySync(
-            SourceSelector(self.record.name, self.record.zone),
+            SourceSelector(
+                self.record.name,
+                self.record.zone,
+                SyncTiming(self.fleet.bound),
+                random.Random(self.record.name),
+            ),
             SyncDependencies(
                 self.directory,
                 self.view,
@@ -267,6 +272,9 @@
         await anyio.sleep(LINK_LATENCY + delay)
         return _over_wire(answer)
 
+    async def aclose(self) -> None:
+        """Close idle connections, of which there are none."""
+
     async def read(self, key: str) -> Snapshot:
         """Read one key."""
         await self._reach_store(CALL_TIMEOUT)
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -19,7 +19,7 @@
 )
 from dogwoodmast.direct.leadership import LEASE_TTL
 from dogwoodmast.direct.settings import Bounds
-from dogwoodmast.direct.source_selector import LONGEST_STORE_SUSPECT_PERIOD
+from dogwoodmast.direct.sync_timing import LONGEST_STORE_PAUSE
 from dogwoodmast.quarantine import MAX_CRASHES
 from metadata_store import StoreFault
 from platform_target import PlatformTarget, TargetFault
@@ -469,7 +469,7 @@
         await anyio.sleep(LEASE_TTL + 1)
         fleet.store.fault = StoreFault.NONE
         target.highest_fences.clear()
-        with anyio.fail_after(LONGEST_STORE_SUSPECT_PERIOD + SHORT_TIMEOUT):
+        with anyio.fail_after(LONGEST_STORE_PAUSE + SHORT_TIMEOUT):
             while not target.highest_fences:
                 await anyio.sleep(0.05)
 
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -48,6 +48,9 @@
         """
         return Snapshot(9, (self.holder,) if self.holder else ())
 
+    async def aclose(self) -> None:
+        """Close idle connections, of which there are none."""
+
     async def read_prefix(self, _prefix: str) -> Snapshot:
         """Read the coordinator's key, whichever prefix is asked for.
 
