--- a/tests/simulated_time.py
+++ b/tests/simulated_time.py
@@ -46,6 +46,13 @@
         """Return the simulated time in seconds."""
         return self._advancing_selector.now
 
+    def hold_up(self, seconds: float) -> None:
+        """Let time pass while no task runs, as in a stopped process.
+
+        :param seconds: Time that passes, in seconds.
+        """
+        self._advancing_selector.now += seconds
+
 
 class SimulatedClock:
     """Clock that follows the simulated time of the running event loop."""
@@ -64,6 +71,16 @@
 )
 
 
+def hold_up(seconds: float) -> None:
+    """Hold up the running simulated event loop.
+
+    :param seconds: Time that passes while no task runs, in seconds.
+    """
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, SimulatedTimeLoop)
+    loop.hold_up(seconds)
+
+
 def run_simulated(scenario: Callable[[], Awaitable[_Result]]) -> _Result:
     """Run a coroutine function on simulated time.
 
