Look a listed target up by its name

Needed for each request right before it is sent, where a dictionary of all targets would cost too much. No logic changes.

--- a/src/dogwoodmast/direct/directory.py
+++ b/src/dogwoodmast/direct/directory.py
@@ -108,6 +108,7 @@
         """
         self._decode_item = decode_item
         self._entries: dict[str, Entry] = {}
+        self._target_keys: dict[str, str] = {}
         self._revision = 0
         self._confirmed_at = float('-inf')
         self._relist_until = float('-inf')
@@ -146,6 +147,18 @@
             if isinstance(entry.decoded, Target) and entry.is_present(now)
         }
 
+    def find_target(self, name: str, now: float) -> Target | None:
+        """Return the target that is listed under a name.
+
+        :param name: Name of the target.
+        :param now: Monotonic time in seconds.
+        :return: Target as :meth:`targets` has it, or ``None``.
+        """
+        entry = self._entries.get(self._target_keys.get(name, ''))
+        if entry is None or not entry.is_present(now):
+            return None
+        return entry.decoded if isinstance(entry.decoded, Target) else None
+
     def known_targets(self) -> list[Target]:
         """Return the targets that are or were listed.
 
@@ -221,7 +234,9 @@
             if key not in present and not entry.removed:
                 self._remove(key, snapshot.revision, requested_at)
                 changed.append(key)
-        self._add_gap(_Gap(self._revision, snapshot.revision))
+        self._gaps = _add_gap(
+            self._gaps, _Gap(self._revision, snapshot.revision)
+        )
         self._confirm(snapshot.revision, requested_at)
         return changed
 
@@ -286,7 +301,9 @@
         if page.is_complete:
             changed.extend(self._remove_missing(page, now))
         if page.has_gap:
-            self._add_gap(_Gap(self._revision, page.revision))
+            self._gaps = _add_gap(
+                self._gaps, _Gap(self._revision, page.revision)
+            )
         self._confirm(page.revision, requested_at - page.age)
         return changed
 
@@ -299,12 +316,6 @@
             and self._remove(key, page.revision, now)
         ]
 
-    def _add_gap(self, gap: _Gap) -> None:
-        self._gaps.append(gap)
-        if len(self._gaps) > MAX_GAPS:
-            first, second, *others = self._gaps
-            self._gaps = [_Gap(first.after, second.until), *others]
-
     def _apply_item(self, item: DirectoryItem, now: float) -> bool:
         content = item.content
         if item.is_compressed:
@@ -314,13 +325,15 @@
         known = self._entries.get(item.key)
         if known is not None and known.revision >= item.revision:
             return False
-        self._entries[item.key] = Entry(
-            item.key,
-            item.revision,
-            content,
-            self._decode(item.key, content),
-            removed=True,
-            retained_until=now + item.doubtful_for,
+        self._store(
+            Entry(
+                item.key,
+                item.revision,
+                content,
+                self._decode(item.key, content),
+                removed=True,
+                retained_until=now + item.doubtful_for,
+            )
         )
         return True
 
@@ -329,25 +342,19 @@
         if known is not None and known.revision >= revision:
             return False
         decoded = self._decode(key, content)
-        if isinstance(decoded, RouteTable) and self._is_outdated(decoded):
+        if _is_outdated(decoded, self._route_table):
             decoded = None
         if known is not None and not known.removed and known.decoded == decoded:
             return False
-        self._entries[key] = Entry(key, revision, content, decoded)
-        if isinstance(decoded, RouteTable):
-            self._route_table = decoded
+        self._store(Entry(key, revision, content, decoded))
         return True
 
-    def _is_outdated(self, table: RouteTable) -> bool:
-        in_force = self._route_table
-        if in_force is None or table.version >= in_force.version:
-            return False
-        log_event(
-            Event.CONFIGURATION_STALE,
-            version=in_force.version,
-            offered=table.version,
-        )
-        return True
+    def _store(self, entry: Entry) -> None:
+        self._entries[entry.key] = entry
+        if isinstance(entry.decoded, Target):
+            self._target_keys[entry.decoded.name] = entry.key
+        if isinstance(entry.decoded, RouteTable) and not entry.removed:
+            self._route_table = entry.decoded
 
     def _remove(self, key: str, revision: int, now: float) -> bool:
         known = self._entries.get(key)
@@ -374,6 +381,26 @@
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
 
 
+def _is_outdated(decoded: object, in_force: RouteTable | None) -> bool:
+    if in_force is None or not isinstance(decoded, RouteTable):
+        return False
+    if decoded.version >= in_force.version:
+        return False
+    log_event(
+        Event.CONFIGURATION_STALE,
+        version=in_force.version,
+        offered=decoded.version,
+    )
+    return True
+
+
+def _add_gap(gaps: list[_Gap], gap: _Gap) -> list[_Gap]:
+    if len(gaps) < MAX_GAPS:
+        return [*gaps, gap]
+    first, second, *others = [*gaps, gap]
+    return [_Gap(first.after, second.until), *others]
+
+
 def _make_item(entry: Entry, now: float) -> DirectoryItem:
     is_large = len(entry.content) >= MIN_COMPRESSED_BYTES
     return DirectoryItem(
