Ask a guard of the VM right before each request is sent

The check right before the send knew only the target's statements and the permit. It moves to SendGuard, which also holds the copy of the store and the check of its age; the gateway is given the latter. No logic changes: the guard still looks at statements and permit only, and nobody waits.

--- a/src/dogwoodmast/direct/attempt.py
+++ b/src/dogwoodmast/direct/attempt.py
@@ -22,6 +22,7 @@
 )
 from dogwoodmast.direct.connection_pool import ConnectionPool
 from dogwoodmast.direct.rate_gate import Permit
+from dogwoodmast.direct.send_guard import SendGuard
 from dogwoodmast.direct.statement_book import StatementBook
 from dogwoodmast.direct.target_connection import (
     OutgoingRequest,
@@ -74,6 +75,7 @@
     _deliver: Deliver
     _statements: StatementBook
     _permit: Permit
+    _guard: SendGuard
 
     async def run(self) -> AttemptOutcome:
         """Send the request and forward the response to the caller.
@@ -89,8 +91,8 @@
             return Refused(error.message, was_sent=False)
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(self._pool.release, connection)
-            objection = self.limiter.statements.find_objection(
-                self._permit, self._clock.monotonic()
+            objection = await self._guard.find_objection(
+                self.limiter, self._permit
             )
             if objection is not None:
                 return Refused(objection, was_sent=False)
--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -7,7 +7,6 @@
 
 import anyio
 
-from dogwoodmast.address import Address
 from dogwoodmast.clock import BootClock
 from dogwoodmast.crash_notifier import CrashNotifier
 from dogwoodmast.direct.coordinator import Coordinator, CoordinatorDependencies
@@ -25,6 +24,7 @@
 from dogwoodmast.direct.rate_limiting import RateLimiting
 from dogwoodmast.direct.readiness import Readiness
 from dogwoodmast.direct.relaying import Relaying
+from dogwoodmast.direct.send_guard import make_send_guard
 from dogwoodmast.direct.settings import DirectSettings, load_direct_settings
 from dogwoodmast.direct.shard_view import LoadReporter, ShardView
 from dogwoodmast.direct.signals import (
@@ -37,7 +37,11 @@
 from dogwoodmast.direct.source_selector import SourceSelector
 from dogwoodmast.direct.sync_timing import SyncTiming
 from dogwoodmast.direct.target_set import TargetSet
-from dogwoodmast.direct.vm_registration import VmRegistration, make_vm_record
+from dogwoodmast.direct.vm_registration import (
+    VmRegistration,
+    make_vm_record,
+    peer_addresses,
+)
 from dogwoodmast.events import Event, log_event
 from dogwoodmast.frames import PROTOCOL_VERSION, Hello
 from dogwoodmast.http_server import (
@@ -105,6 +109,9 @@
         self._view = ShardView()
         self._metrics = Metrics()
         self._timing = SyncTiming(self._bounds.copy_bound)
+        self._guard = make_send_guard(
+            self._directory, self._clock, self._timing
+        )
         self._rates = RateLimiting(
             settings.vm.name,
             self._directory,
@@ -126,13 +133,14 @@
             self._rates.gate,
             self._relaying.dispatcher,
             self._bounds,
+            guard=self._guard,
         )
         self._gateway = DirectGateway(
             self._directory,
             self._dispatcher,
             self._clock,
             self._metrics,
-            self._timing,
+            self._guard.freshness,
         )
         self._server = make_http_server(
             self._gateway, settings.listen.callers, DEFAULT_KEEP_ALIVE
@@ -214,7 +222,7 @@
         notifier = CrashNotifier(
             self._clock,
             self._links,
-            self._peer_addresses,
+            lambda: peer_addresses(self._record, self._directory),
             self._dispatcher.quarantine,
         )
         for part in (sync, reporter, coordinator, notifier, self._rates):
@@ -244,13 +252,6 @@
         monitor.add_gauges(self._metrics)
         return monitor
 
-    def _peer_addresses(self) -> list[Address]:
-        return [
-            Address.parse(vm.links)
-            for vm in self._directory.vms().values()
-            if vm.name != self._record.name
-        ]
-
     def _start_servers(self, tasks: TaskGroup) -> None:
         listen = self._settings.listen
         self._add_gauges()
--- a/src/dogwoodmast/direct/dispatcher.py
+++ b/src/dogwoodmast/direct/dispatcher.py
@@ -30,6 +30,7 @@
 from dogwoodmast.direct.rejections import NO_OWNER_RETRY_DELAY, Rejections
 from dogwoodmast.direct.relay_dispatcher import RelayDispatcher
 from dogwoodmast.direct.retry_budget import RetryBudget
+from dogwoodmast.direct.send_guard import SendGuard, make_guard_without_copy
 from dogwoodmast.direct.settings import Bounds
 from dogwoodmast.direct.shard_view import ShardView
 from dogwoodmast.direct.target_set import TargetSet
@@ -67,6 +68,11 @@
     """Fingerprints of requests that are rejected since they crash targets."""
     vm_count: int = 1
     """Number of entry VMs that are up; they share the retry budget."""
+    _guard: SendGuard = attrs.field(
+        default=attrs.Factory(
+            lambda self: make_guard_without_copy(self._clock), takes_self=True
+        )
+    )
     _sizes: dict[str, float] = attrs.field(factory=dict)
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _rejections: Rejections = attrs.field(
@@ -181,6 +187,7 @@
             deliver,
             self._targets.statements,
             progress.permit,
+            self._guard,
         )
         # If the deadline cancels the exchange, the request may have run.
         progress.last_outcome = Broken('no response before the deadline')
--- a/src/dogwoodmast/direct/gateway.py
+++ b/src/dogwoodmast/direct/gateway.py
@@ -14,11 +14,11 @@
 from dogwoodmast.direct.attempt import HOP_BY_HOP_HEADERS
 from dogwoodmast.direct.call import Call, Rejected, Response
 from dogwoodmast.direct.catalog import Route, RouteTable, pick_service
+from dogwoodmast.direct.copy_freshness import CopyFreshness
 from dogwoodmast.direct.directory import Directory
 from dogwoodmast.direct.dispatcher import Dispatcher
 from dogwoodmast.direct.metrics import Metrics
 from dogwoodmast.direct.relay_protocol import RELAY_HEADERS, RelayedRequest
-from dogwoodmast.direct.sync_timing import SyncTiming
 from dogwoodmast.direct.trace import RequestLog, Trace
 from dogwoodmast.platform.headers import (
     REPLACED_HEADERS,
@@ -79,7 +79,7 @@
     _dispatcher: Dispatcher
     _clock: Clock
     _metrics: Metrics
-    _timing: SyncTiming
+    _freshness: CopyFreshness
     draining: bool = False
     """Whether the VM is stopping; responses then carry ``connection: close``,
     so that callers move to other VMs."""
@@ -92,14 +92,14 @@
     @property
     def parts(
         self,
-    ) -> tuple[Directory, Dispatcher, Clock, Metrics, SyncTiming]:
+    ) -> tuple[Directory, Dispatcher, Clock, Metrics, CopyFreshness]:
         """Parts of the VM that another gateway of it is made of."""
         return (
             self._directory,
             self._dispatcher,
             self._clock,
             self._metrics,
-            self._timing,
+            self._freshness,
         )
 
     @property
@@ -172,8 +172,7 @@
         Callers do not retry after ``UNKNOWN_SERVICE``, so it takes a copy that
         includes every configuration that must be in force.
         """
-        age = self._directory.age(self._clock.monotonic())
-        if age > self._timing.bound:
+        if self._freshness.is_outdated(self._clock.monotonic()):
             return Problem(
                 ProblemType.CONFIGURATION_OUTDATED,
                 retry_after=UNAVAILABLE_RETRY_DELAY,
--- a/src/dogwoodmast/direct/vm_registration.py
+++ b/src/dogwoodmast/direct/vm_registration.py
@@ -8,8 +8,9 @@
 import anyio
 
 from dogwoodmast._wire import encode
+from dogwoodmast.address import Address
 from dogwoodmast.backoff import Backoff
-from dogwoodmast.direct.directory import VM_PREFIX
+from dogwoodmast.direct.directory import VM_PREFIX, Directory
 from dogwoodmast.direct.messages import VmRecord
 from dogwoodmast.errors import PlatformError
 from dogwoodmast.events import Event, log_event
@@ -49,6 +50,20 @@
     )
 
 
+def peer_addresses(own: VmRecord, directory: Directory) -> list[Address]:
+    """Return the addresses of the other entry VMs that are registered.
+
+    :param own: Record of the local VM.
+    :param directory: Local copy of the store.
+    :return: Addresses of their links.
+    """
+    return [
+        Address.parse(vm.links)
+        for vm in directory.vms().values()
+        if vm.name != own.name
+    ]
+
+
 class VmRegistration:
     """Task that keeps the local VM's record in the store, bound to a lease."""
 
