Do not hold a request that was withheld against its target

Callers saw: after a target had asked for a pause, or a permit had expired, while requests were connecting, the target was avoided, and taken for down after two of them, so that requests for its keys were rejected as no-owner. Cause: what the VM itself withheld was recorded as a refusal without a send, like a failed connection. Why it works: an objection is an outcome of its own, Withheld; the target counts as tried for this request, as before, and its limiter hears nothing. Also for a target that is removed before the connection. In the request log the attempt is 'withheld: ...' now.

--- a/src/dogwoodmast/direct/attempt.py
+++ b/src/dogwoodmast/direct/attempt.py
@@ -19,6 +19,7 @@
     Refused,
     Response,
     ResponseTruncated,
+    Withheld,
 )
 from dogwoodmast.direct.connection_pool import ConnectionPool
 from dogwoodmast.direct.rate_gate import Permit
@@ -95,7 +96,7 @@
                 self.limiter, self._permit
             )
             if objection is not None:
-                return Refused(objection, was_sent=False)
+                return Withheld(objection)
             try:
                 return await self._exchange(connection)
             except ExchangeAborted as error:
--- a/src/dogwoodmast/direct/call.py
+++ b/src/dogwoodmast/direct/call.py
@@ -88,6 +88,14 @@
     was no connection to it."""
 
 
+@attrs.frozen
+class Withheld:
+    """The VM did not send the request, since the target must not get it."""
+
+    reason: str
+    """Reason for the request log."""
+
+
 @attrs.frozen
 class Broken:
     """The target may have run the request, but its response was lost."""
@@ -117,7 +125,7 @@
     """Size of the body, or of its buffered part if it is larger, in bytes."""
 
 
-AttemptOutcome = Refused | Broken | Failed | Delivered
+AttemptOutcome = Refused | Withheld | Broken | Failed | Delivered
 
 
 @attrs.frozen
--- a/src/dogwoodmast/direct/dispatcher.py
+++ b/src/dogwoodmast/direct/dispatcher.py
@@ -24,6 +24,7 @@
     Failed,
     Refused,
     Rejected,
+    Withheld,
 )
 from dogwoodmast.direct.progress import Progress, Unreachable
 from dogwoodmast.direct.rate_gate import Permit, RateDenied, RateGate
@@ -38,6 +39,7 @@
 from dogwoodmast.quarantine import Quarantine
 
 if TYPE_CHECKING:
+    from dogwoodmast.direct.catalog import Target
     from dogwoodmast.direct.target_limiter import TargetLimiter
     from dogwoodmast.direct.target_set import Candidates
     from dogwoodmast.direct.trace import Trace
@@ -178,7 +180,7 @@
     ) -> AttemptOutcome:
         pool = self._targets.pool(limiter)
         if pool is None:
-            return Refused('target is leaving or gone', was_sent=False)
+            return Withheld('target is leaving or gone')
         exchange = Exchange(
             progress.call,
             limiter,
@@ -204,9 +206,12 @@
         progress.trace.on_attempt(limiter.target, outcome, now - started_at)
         name = limiter.target.name
         progress.tried |= {name}
-        if not isinstance(outcome, Refused) or outcome.was_sent:
+        if _has_reached(outcome):
             progress.reached_targets |= {name}
         match outcome:
+            case Withheld():
+                # Says nothing of the target's health.
+                return
             case Delivered(_, size):
                 self.quarantine.on_response(progress.call.fingerprint)
                 limiter.on_response(now - started_at)
@@ -222,16 +227,17 @@
             case Broken(_, has_crashed):
                 progress.on_possible_run()
                 limiter.on_no_response(now)
-                if has_crashed:
-                    self._targets.reach.confirm(
-                        limiter.target.key,
-                        functools.partial(
-                            self.quarantine.on_crash,
-                            name,
-                            progress.call.fingerprint,
-                            now,
-                        ),
-                    )
+                self._suspect(progress.call, limiter.target, now, has_crashed)
+
+    def _suspect(
+        self, call: Call, target: Target, now: float, has_crashed: bool
+    ) -> None:
+        """Suspect a request once the VM is known not to be cut off."""
+        if has_crashed:
+            action = functools.partial(
+                self.quarantine.on_crash, target.name, call.fingerprint, now
+            )
+            self._targets.reach.confirm(target.key, action)
 
     def _record_size(self, route: str, size: int) -> None:
         known = self._sizes.get(route, size)
@@ -362,11 +368,11 @@
             return None
         holder = (assignment.target, assignment.born)
         now = self._clock.monotonic()
-        # After a refusal by the holder, wait until the key has moved, unless
-        # the holder has said for how long it wants no requests.
+        # If the holder must not get the request, wait until the key has moved,
+        # unless the holder has said for how long it wants no requests.
         if (
             assignment.target in progress.tried
-            and isinstance(progress.last_outcome, Refused)
+            and isinstance(progress.last_outcome, (Refused, Withheld))
             and not self._targets.statements.of(holder).is_paused(now)
         ):
             return None
@@ -415,9 +421,20 @@
         return found
 
 
+def _has_reached(outcome: AttemptOutcome) -> bool:
+    """Tell whether the target got the request, or may have got it."""
+    match outcome:
+        case Refused(_, was_sent):
+            return was_sent
+        case Withheld():
+            return False
+        case _:
+            return True
+
+
 def _problem_of(outcome: AttemptOutcome | None) -> ProblemType:
     match outcome:
-        case Refused():
+        case Refused() | Withheld():
             return ProblemType.OVERLOADED
         case _:
             return ProblemType.EXCHANGE_BROKEN
--- a/src/dogwoodmast/direct/trace.py
+++ b/src/dogwoodmast/direct/trace.py
@@ -14,6 +14,7 @@
     Failed,
     Refused,
     Rejected,
+    Withheld,
 )
 from dogwoodmast.direct.relay_protocol import RelayProblem
 from dogwoodmast.events import Event, log_event
@@ -199,6 +200,8 @@
     match outcome:
         case Refused(reason, _):
             return f'refused: {reason}'
+        case Withheld(reason):
+            return f'withheld: {reason}'
         case Broken(reason):
             return f'broken: {reason}'
         case Failed(reply):
