Look at a target's listing right before a request is sent to it

Callers and targets saw: a request reached a target that had left the store's list, or was listed as leaving, before it was sent. Cause: the target was chosen by the copy of the store of that moment; after the queue, the permit and the connection only the target's own statements were looked at. Evidence: a listing that turns to leaving, is removed or restarts under another incarnation in each of these stages (14 cases, failed before). Why it works: the guard looks the target up by its name, and its incarnation must be the same; there is no await between that and the write. A relayed request passes the same guard at the VM that runs it.

--- a/src/dogwoodmast/direct/send_guard.py
+++ b/src/dogwoodmast/direct/send_guard.py
@@ -16,6 +16,7 @@
 from dogwoodmast.direct.sync_timing import LONGEST_BOUND, SyncTiming
 
 if TYPE_CHECKING:
+    from dogwoodmast.direct.catalog import Target
     from dogwoodmast.direct.rate_gate import Permit
     from dogwoodmast.direct.target_limiter import TargetLimiter
 
@@ -40,9 +41,20 @@
         :param permit: Permit of the request under the target's rate limit.
         :return: Reason, or ``None`` if the request may be sent.
         """
-        return limiter.statements.find_objection(
-            permit, self._clock.monotonic()
-        )
+        now = self._clock.monotonic()
+        objection = self._find_change(limiter.target, now)
+        if objection is not None:
+            return objection
+        return limiter.statements.find_objection(permit, now)
+
+    def _find_change(self, target: Target, now: float) -> str | None:
+        """Tell how the listing of a target has changed since it was chosen."""
+        if not self._directory.revision:
+            return None
+        listed = self._directory.find_target(target.name, now)
+        if listed is None or listed.born != target.born:
+            return 'target is no longer listed'
+        return 'target is listed as leaving' if listed.leaving else None
 
 
 def make_send_guard(
