Let requests of a VM that was held up wait for the check of its copy

Targets saw: a VM that had been stopped or slowed for 0.5 to 4 s sent what it had queued to targets that had left meanwhile. Cause: when it goes on, its requests run before it has read the store anew, by a copy older than the bound. Why it works: requests wait until an attempt to read has confirmed the copy or has shown, in time, that nothing newer can be had, for at most the limit of a read; then the listing is looked at. In an outage of the store such attempts have been made, and nobody waits (tested). The first wait comes before the connection and before the request counts as possibly sent, so that one whose deadline passes in it is told that it has not run.

The synchronisation does not report its attempts yet.

--- a/src/dogwoodmast/direct/dispatcher.py
+++ b/src/dogwoodmast/direct/dispatcher.py
@@ -178,6 +178,7 @@
     async def _exchange(
         self, progress: Progress, limiter: TargetLimiter, deliver: Deliver
     ) -> AttemptOutcome:
+        await self._guard.freshness.wait_checked()
         pool = self._targets.pool(limiter)
         if pool is None:
             return Withheld('target is leaving or gone')
--- a/src/dogwoodmast/direct/send_guard.py
+++ b/src/dogwoodmast/direct/send_guard.py
@@ -41,6 +41,7 @@
         :param permit: Permit of the request under the target's rate limit.
         :return: Reason, or ``None`` if the request may be sent.
         """
+        await self.freshness.wait_checked()
         now = self._clock.monotonic()
         objection = self._find_change(limiter.target, now)
         if objection is not None:
