Route requests of a VM that was held up after the check of its copy

Callers saw: requests sent over 2.0 s after a configuration was acknowledged were handled by an earlier one. Evidence: a route that changes during the hold-up, for callers' and for relayed requests (8 cases, failed before). Why it works: the gateway waits for the check of the copy, for at most the limit of a read, before it takes the table; time that callers wait counts from the arrival as before.

--- a/src/dogwoodmast/direct/gateway.py
+++ b/src/dogwoodmast/direct/gateway.py
@@ -134,6 +134,7 @@
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         arrived_at = self._clock.monotonic()
+        await self._freshness.wait_checked()
         table = self._directory.route_table
         try:
             selected = self._select_route(table, scope)
