Let the synchronisation tell how its attempts to read end

Requests of a VM that was held up wait for the check of its copy; the check is now told of each attempt that confirmed the copy or ended in vain. An attempt that ended much later than its limit was held up with its VM, says nothing of its source, and is made again at once.

--- a/src/dogwoodmast/direct/copy_freshness.py
+++ b/src/dogwoodmast/direct/copy_freshness.py
@@ -43,17 +43,20 @@
         self._was_confirmed = True
         self._wake()
 
-    def on_vain_attempt(self, began_at: float, limit: float) -> None:
+    def on_vain_attempt(self, began_at: float, limit: float) -> bool:
         """Record that an attempt has not confirmed the copy.
 
         :param began_at: Monotonic time at which it began, in seconds.
         :param limit: Longest time for which it is awaited, in seconds.
+        :return: Whether it says anything of its source; false if the VM was
+            held up in it, so that the source may have answered.
         """
         latest_end = began_at + limit + LATE_END_SHARE * self._timing.bound
         if self._clock.monotonic() > latest_end:
-            return
+            return False
         self._vain_since = max(self._vain_since, began_at)
         self._wake()
+        return True
 
     def is_outdated(self, now: float) -> bool:
         """Tell whether the copy is older than the bound.
@@ -74,7 +77,7 @@
         if not self._was_confirmed or not self.is_outdated(now):
             return False
         # Attempts before the copy was confirmed or overdue prove nothing.
-        return self._directory.age(self._vain_since) <= self._timing.max_age
+        return self._directory.age(self._vain_since) < self._timing.max_age
 
     async def wait_checked(self) -> None:
         """Wait until the copy is checked, or ``check_timeout`` has passed."""
--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -205,6 +205,7 @@
                 self._store,
                 self._links,
                 self._clock,
+                self._guard.freshness,
             ),
             self._timing,
         )
--- a/src/dogwoodmast/direct/directory_sync.py
+++ b/src/dogwoodmast/direct/directory_sync.py
@@ -14,6 +14,7 @@
 import attrs
 
 from dogwoodmast.clock import Clock
+from dogwoodmast.direct.copy_freshness import CopyFreshness
 from dogwoodmast.direct.directory import Directory
 from dogwoodmast.direct.messages import (
     DirectoryPage,
@@ -61,6 +62,8 @@
     """Links to other entry VMs."""
     clock: Clock
     """Monotonic clock that also advances while the machine is suspended."""
+    freshness: CopyFreshness
+    """Told how attempts to read have ended."""
 
 
 class DirectorySync:
@@ -93,6 +96,7 @@
             self.activity,
             self._on_store_read,
         )
+        self._freshness = dependencies.freshness
         self._links = dependencies.links
         self._clock = dependencies.clock
         self._listeners: list[Callable[[list[str]], None]] = []
@@ -177,7 +181,8 @@
             return
         if not read.ended.is_set():
             await self._reader.leave()
-        self._selector.on_failure(source, self._clock.monotonic())
+        if self._freshness.on_vain_attempt(read.began_at, wait + timeout):
+            self._selector.on_failure(source, self._clock.monotonic())
 
     async def _pause(self, seconds: float) -> None:
         """Sleep, but not beyond the time at which the copy is overdue."""
@@ -191,27 +196,40 @@
 
     def _on_store_read(self, changed: list[str]) -> None:
         self._selector.on_success(StoreSource())
+        self._freshness.on_confirmed()
         self._notify(changed)
 
     async def _pull(self, source: VmSource, now: float) -> None:
-        page = await self._request_page(source, self._pull_timeout(now))
+        timeout = self._pull_timeout(now)
+        page = await self._request_page(source, timeout)
         received_at = self._clock.monotonic()
-        if page is None:
-            await self._on_pull_failure(source, received_at)
+        is_stale = False
+        if page is not None and self._try_apply(source, page, now):
+            if self._is_acceptable(page, received_at):
+                self._selector.on_success(source)
+                self._futile_pulls = 0
+                await self._pause(self._timing.pull_interval)
+                return
+            is_stale = True
+        if not self._freshness.on_vain_attempt(now, timeout):
             return
+        if is_stale:
+            self._selector.on_stale(source, received_at)
+        else:
+            self._selector.on_failure(source, received_at)
+            self._futile_pulls += 1
+        await self._await_news(received_at)
+
+    def _try_apply(
+        self, source: VmSource, page: DirectoryPage, requested_at: float
+    ) -> bool:
         try:
-            self._apply(page, now, received_at)
+            self._apply(page, requested_at, self._clock.monotonic())
         except MalformedFrame as error:
             self._log_pull_failure(source, error.message)
-            await self._on_pull_failure(source, received_at)
-            return
-        if self._is_acceptable(page, received_at):
-            self._selector.on_success(source)
-            self._futile_pulls = 0
-            await self._pause(self._timing.pull_interval)
-        else:
-            self._selector.on_stale(source, received_at)
-            await self._await_news(received_at)
+            return False
+        self._freshness.on_confirmed()
+        return True
 
     def _apply(
         self, page: DirectoryPage, requested_at: float, now: float
@@ -222,11 +240,6 @@
             self._view.on_image(image)
         self._notify(self._directory.on_page(page, requested_at, now))
 
-    async def _on_pull_failure(self, source: VmSource, now: float) -> None:
-        self._selector.on_failure(source, now)
-        self._futile_pulls += 1
-        await self._await_news(now)
-
     async def _await_news(self, now: float) -> None:
         """Pause before the next source while the store cannot be read.
 
--- a/tests/sync_simulation.py
+++ b/tests/sync_simulation.py
@@ -18,6 +18,7 @@
 from dogwoodmast.address import Address
 from dogwoodmast.direct.catalog import RouteTable
 from dogwoodmast.direct.coordinator import Coordinator, CoordinatorDependencies
+from dogwoodmast.direct.copy_freshness import CopyFreshness
 from dogwoodmast.direct.directory import COORDINATOR_KEY, VM_PREFIX, Directory
 from dogwoodmast.direct.directory_sync import DirectorySync, SyncDependencies
 from dogwoodmast.direct.json_client import CALL_TIMEOUT
@@ -186,11 +187,13 @@
         self.directory = Directory(self.fleet.decode_item)
         self.view = ShardView()
         self._handlers = MessageHandlers()
+        timing = SyncTiming(self.fleet.bound)
+        clock = SimulatedClock()
         sync = DirectorySync(
             SourceSelector(
                 self.record.name,
                 self.record.zone,
-                SyncTiming(self.fleet.bound),
+                timing,
                 random.Random(self.record.name),
             ),
             SyncDependencies(
@@ -198,9 +201,10 @@
                 self.view,
                 cast('PolledStore', self),
                 cast('LinkPool', self),
-                SimulatedClock(),
+                clock,
+                CopyFreshness(self.directory, clock, timing),
             ),
-            SyncTiming(self.fleet.bound),
+            timing,
         )
         reporter = LoadReporter(
             self.record.name,
--- a/tests/test_sync_after_freeze.py
+++ b/tests/test_sync_after_freeze.py
@@ -8,6 +8,7 @@
 
 from dogwoodmast.address import Address
 from dogwoodmast.clock import ManualClock
+from dogwoodmast.direct.copy_freshness import CopyFreshness
 from dogwoodmast.direct.directory import Directory
 from dogwoodmast.direct.directory_sync import DirectorySync, SyncDependencies
 from dogwoodmast.direct.messages import DirectoryPage
@@ -43,6 +44,7 @@
     """The page is older than the VM may wait for the next one by then."""
     clock = ManualClock()
     directory = Directory(cast('Any', None))
+    timing = SyncTiming(BOUND)
     sync = DirectorySync(
         SourceSelector('a', 'z'),
         SyncDependencies(
@@ -51,8 +53,9 @@
             cast('Any', None),
             cast('LinkPool', _FrozenLinks(clock, seconds)),
             clock,
+            CopyFreshness(directory, clock, timing),
         ),
-        SyncTiming(BOUND),
+        timing,
     )
     await sync._pull(SOURCE, clock.monotonic())
     assert directory.revision == 7
--- a/tests/test_sync_after_outage.py
+++ b/tests/test_sync_after_outage.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from simulated_time import run_simulated
+from simulated_time import hold_up, run_simulated
 from sync_simulation import CONTACT_TIME, SimulatedFleet, VmFault
 
 BOUND = 2.0
@@ -16,6 +16,8 @@
 SHAPES = ((1, 1), (4, 2), (3, 4), (5, 14))
 """Numbers of zones, and of entry VMs in each."""
 SEEDS = 12
+READ_TIME = 0.05
+"""Time in which a VM reads a sound store, in seconds."""
 
 
 def measure_after_outage(
@@ -96,3 +98,28 @@
         return delays
 
     assert max(run_simulated(scenario)) <= BOUND
+
+
+@pytest.mark.parametrize('shape', SHAPES[:3])
+@pytest.mark.parametrize('seconds', [0.5, 1.0, 2.0, 4.0])
+def test_hold_up_is_not_taken_for_a_failure_of_the_store(
+    shape: tuple[int, int], seconds: float
+) -> None:
+    """Reads that were under way are made again as soon as the VM runs."""
+
+    async def scenario() -> float:
+        draw = random.Random(seconds)
+        fleet = SimulatedFleet(BOUND)
+        fleet.add_vms(*shape)
+        ages: list[float] = []
+        async with fleet.running():
+            await anyio.sleep(CONTACT_TIME)
+            for _ in range(SEEDS):
+                await anyio.sleep(draw.uniform(1, 2))
+                hold_up(seconds)
+                await anyio.sleep(READ_TIME)
+                now = anyio.current_time()
+                ages.extend(vm.directory.age(now) for vm in fleet.vms)
+        return max(ages)
+
+    assert run_simulated(scenario) <= BOUND
