Compute the time limit of a pull without an exponent

A VM whose pulls had failed a thousand times in a row, as one among 195 does in two minutes without its links, ended with an OverflowError. Found in review; the test failed before. The limit is the usual one after the first failure.

--- a/src/dogwoodmast/direct/directory_sync.py
+++ b/src/dogwoodmast/direct/directory_sync.py
@@ -100,7 +100,7 @@
         self._links = dependencies.links
         self._clock = dependencies.clock
         self._listeners: list[Callable[[list[str]], None]] = []
-        self._futile_pulls = 0
+        self._was_pull_futile = False
 
     @property
     def reads_store(self) -> bool:
@@ -207,7 +207,7 @@
         if page is not None and self._try_apply(source, page, now):
             if self._is_acceptable(page, received_at):
                 self._selector.on_success(source)
-                self._futile_pulls = 0
+                self._was_pull_futile = False
                 await self._pause(self._timing.pull_interval)
                 return
             is_stale = True
@@ -217,7 +217,7 @@
             self._selector.on_stale(source, received_at)
         else:
             self._selector.on_failure(source, received_at)
-            self._futile_pulls += 1
+            self._was_pull_futile = True
         await self._await_news(received_at)
 
     def _try_apply(
@@ -252,14 +252,15 @@
         """Return the time limit of a pull.
 
         A pull ends in time for the VM to read the store itself.  Once the copy
-        is overdue, a source that has not answered is soon left for another; the
-        limit grows again if none answers.
+        is overdue, a source that does not answer is soon left for another; the
+        limit is the usual one again if that does not answer either.
         """
         time_left = self._time_left(now)
         if time_left > 0:
             return min(self._timing.pull_timeout, time_left)
-        limit: float = self._timing.overdue_timeout * 2**self._futile_pulls
-        return min(self._timing.pull_timeout, limit)
+        if self._was_pull_futile:
+            return self._timing.pull_timeout
+        return self._timing.overdue_timeout
 
     def _is_acceptable(self, page: DirectoryPage, now: float) -> bool:
         """Check whether a VM may remain the source.
--- a/tests/test_sync_after_freeze.py
+++ b/tests/test_sync_after_freeze.py
@@ -15,14 +15,40 @@
 from dogwoodmast.direct.shard_view import ShardView
 from dogwoodmast.direct.source_selector import SourceSelector, VmSource
 from dogwoodmast.direct.sync_timing import SyncTiming
+from dogwoodmast.errors import LinkUnavailable
 
 if TYPE_CHECKING:
     from dogwoodmast.link_pool import LinkPool
 
 BOUND = 2.5
+MANY_PULLS = 1100
+"""Pulls in vain, as a VM makes in two minutes without its links."""
 SOURCE = VmSource('b', Address('10.0.0.2', 1))
 
 
+def make_sync(links: LinkPool, clock: ManualClock) -> DirectorySync:
+    """Make the synchronisation of a VM that reads from others only.
+
+    :param links: Links to other VMs.
+    :param clock: Clock of the VM.
+    :return: Synchronisation with an empty copy.
+    """
+    directory = Directory(cast('Any', None))
+    timing = SyncTiming(BOUND)
+    return DirectorySync(
+        SourceSelector('a', 'z'),
+        SyncDependencies(
+            directory,
+            ShardView(),
+            cast('Any', None),
+            links,
+            clock,
+            CopyFreshness(directory, clock, timing),
+        ),
+        timing,
+    )
+
+
 class _FrozenLinks:
     """Links of a VM that is suspended before it reads the answer."""
 
@@ -43,20 +69,24 @@
 ) -> None:
     """The page is older than the VM may wait for the next one by then."""
     clock = ManualClock()
-    directory = Directory(cast('Any', None))
-    timing = SyncTiming(BOUND)
-    sync = DirectorySync(
-        SourceSelector('a', 'z'),
-        SyncDependencies(
-            directory,
-            ShardView(),
-            cast('Any', None),
-            cast('LinkPool', _FrozenLinks(clock, seconds)),
-            clock,
-            CopyFreshness(directory, clock, timing),
-        ),
-        timing,
-    )
+    sync = make_sync(cast('LinkPool', _FrozenLinks(clock, seconds)), clock)
+    directory = sync._directory
     await sync._pull(SOURCE, clock.monotonic())
     assert directory.revision == 7
     assert directory.age(clock.monotonic()) == pytest.approx(seconds + 0.1)
+
+
+class _RefusingLinks:
+    """Links to VMs that have ended."""
+
+    async def call(self, address: Address, _message: object) -> DirectoryPage:
+        """Refuse the connection."""
+        raise LinkUnavailable(str(address))
+
+
+@pytest.mark.anyio
+async def test_vm_that_pulls_in_vain_for_minutes_goes_on() -> None:
+    """The time limit of its pulls can still be computed."""
+    sync = make_sync(cast('LinkPool', _RefusingLinks()), ManualClock())
+    for _ in range(MANY_PULLS):
+        await sync._pull(SOURCE, 0)
