Let entries return for two seconds from the end of an outage

Callers: targets whose entries had lapsed in a short outage counted as gone at its end, though they live and are listed again within two seconds.

Cause: the time was counted from the last read that had failed; since a read is left before it fails, an outage may end before any has. The first answer after reads without one now starts it, at the return of the store or later.

--- a/src/dogwoodmast/direct/directory.py
+++ b/src/dogwoodmast/direct/directory.py
@@ -206,7 +206,7 @@
         ]
 
     def on_outage(self, now: float) -> None:
-        """Record that a read of the store failed.
+        """Record that a read of the store failed, or was the first to succeed.
 
         Keys whose removal is seen until ``RELIST_WINDOW`` has passed count
         as present for the rest of that window.
--- a/src/dogwoodmast/direct/directory_sync.py
+++ b/src/dogwoodmast/direct/directory_sync.py
@@ -94,6 +94,7 @@
             dependencies.store,
             dependencies.clock,
             self.activity,
+            timing,
             self._on_store_read,
         )
         self._freshness = dependencies.freshness
--- a/src/dogwoodmast/direct/store_reader.py
+++ b/src/dogwoodmast/direct/store_reader.py
@@ -11,6 +11,7 @@
 from dogwoodmast.clock import Clock
 from dogwoodmast.direct.directory import Directory
 from dogwoodmast.direct.sync_activity import SyncActivity
+from dogwoodmast.direct.sync_timing import SyncTiming
 from dogwoodmast.errors import HistoryLost, PlatformError
 from dogwoodmast.events import Event, log_event
 from dogwoodmast.key_value import PolledStore
@@ -33,6 +34,9 @@
 
     began_at: float
     """Monotonic time at which it began, in seconds."""
+    due_at: float
+    """Monotonic time after which a store that is up has answered, in
+    seconds."""
     ended: anyio.Event = attrs.field(factory=anyio.Event)
     """Set when it has succeeded or failed."""
     has_succeeded: bool = False
@@ -52,17 +56,18 @@
     _store: PolledStore
     _clock: Clock
     _activity: SyncActivity
+    _timing: SyncTiming
     _on_changes: Callable[[list[str]], None]
     """Called with the keys that changed, after each read that succeeded."""
     read_at: float = float('-inf')
     """Monotonic time at which the latest read began that has succeeded, in
     seconds."""
-    _pending: int = 0
+    _pending: list[StoreRead] = attrs.field(factory=list)
 
     @property
     def can_begin(self) -> bool:
         """Whether another read may begin."""
-        return self._pending < MAX_PENDING_READS
+        return len(self._pending) < MAX_PENDING_READS
 
     def begin(self, tasks: TaskGroup, wait: float) -> StoreRead:
         """Begin to read changes, or all keys if there is no copy yet.
@@ -72,8 +77,9 @@
             seconds.
         :return: The read.
         """
-        read = StoreRead(self._clock.monotonic())
-        self._pending += 1
+        now = self._clock.monotonic()
+        read = StoreRead(now, now + wait + self._timing.read_timeout)
+        self._pending.append(read)
         tasks.start_soon(self._run, read, wait)
         return read
 
@@ -94,7 +100,7 @@
         else:
             self._on_success(read, changed)
         finally:
-            self._pending -= 1
+            self._pending.remove(read)
             read.ended.set()
 
     def _on_success(self, read: StoreRead, changed: list[str]) -> None:
@@ -131,8 +137,23 @@
                 return []
             log_event(Event.DIRECTORY_RELOADED, reason=error.message)
             return await self._read_all(began_at)
+        self._on_answer(began_at)
         return self._directory.on_changes(page, began_at)
 
+    def _on_answer(self, began_at: float) -> None:
+        """Record the end of an outage, if earlier reads had no answer.
+
+        Entries that lapsed in it may return from now on.
+        """
+        now = self._clock.monotonic()
+        is_overdue = any(
+            one.due_at <= now and one.began_at < began_at
+            for one in self._pending
+        )
+        if is_overdue or self._activity.store_failures:
+            self._directory.on_outage(now)
+
     async def _read_all(self, began_at: float) -> list[str]:
         snapshot = await self._store.read_prefix(ALL_KEYS)
+        self._on_answer(began_at)
         return self._directory.on_snapshot(snapshot, began_at)
--- a/tests/test_sync_after_outage.py
+++ b/tests/test_sync_after_outage.py
@@ -2,13 +2,25 @@
 
 from __future__ import annotations
 
+import functools
 import random
+from typing import TYPE_CHECKING, TypeVar
 
 import anyio
 import pytest
 
 from simulated_time import hold_up, run_simulated
-from sync_simulation import CONTACT_TIME, SimulatedFleet, VmFault
+from sync_simulation import (
+    CONTACT_TIME,
+    MEASURING_INTERVAL,
+    SimulatedFleet,
+    VmFault,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+_Result = TypeVar('_Result')
 
 BOUND = 2.0
 """Bound of the platform contracts, in seconds."""
@@ -16,10 +28,24 @@
 SHAPES = ((1, 1), (4, 2), (3, 4), (5, 14))
 """Numbers of zones, and of entry VMs in each."""
 SEEDS = 12
+MANY_SEEDS = 20
+RETAINED_TIME = 2.0
+"""Time after an outage in which entries that lapsed in it may return, in
+seconds, as the contract says."""
 READ_TIME = 0.05
 """Time in which a VM reads a sound store, in seconds."""
 
 
+def play(scenario: Callable[[int], Awaitable[_Result]], seed: int) -> _Result:
+    """Play a scenario on simulated time.
+
+    :param scenario: Coroutine function of a seed.
+    :param seed: Seed of the times in it.
+    :return: Its result.
+    """
+    return run_simulated(functools.partial(scenario, seed))
+
+
 def measure_after_outage(
     shape: tuple[int, int],
     fault: VmFault,
@@ -123,3 +149,32 @@
         return max(ages)
 
     assert run_simulated(scenario) <= BOUND
+
+
+@pytest.mark.parametrize('shape', [(1, 1), (4, 2)])
+def test_entry_that_lapsed_in_a_short_outage_may_return(
+    shape: tuple[int, int],
+) -> None:
+    """The VMs have left a read of theirs, but it has not failed yet."""
+
+    async def scenario(seed: int) -> bool:
+        draw = random.Random(seed)
+        fleet = SimulatedFleet(BOUND)
+        fleet.add_vms(*shape)
+        fleet.store.put('servers/x', b'')
+        async with fleet.running():
+            await anyio.sleep(CONTACT_TIME + draw.uniform(0, 1))
+            fleet.set_fault(VmFault.STORE_SILENT)
+            await anyio.sleep(draw.uniform(1.6, 3))
+            fleet.store.delete('servers/x')
+            fleet.set_fault(VmFault.NONE)
+            await anyio.sleep(RETAINED_TIME - MEASURING_INTERVAL)
+            return all(
+                vm.directory._entries['servers/x'].is_present(
+                    anyio.current_time()
+                )
+                for vm in fleet.vms
+            )
+
+    kept = [play(scenario, seed) for seed in range(MANY_SEEDS)]
+    assert all(kept)
