--- a/src/dogwoodmast/direct/json_client.py
+++ b/src/dogwoodmast/direct/json_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import AsyncExitStack, contextmanager
 from typing import TYPE_CHECKING
 
 import anyio
@@ -17,6 +18,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from dogwoodmast.address import Address
     from dogwoodmast.clock import Clock
 
@@ -42,6 +45,12 @@
         self._address = address
         self._pool = ConnectionPool('store', address, clock)
         self._calls = 0
+        self._arriving = 0
+
+    @property
+    def is_arriving(self) -> bool:
+        """Whether the head of a response has come, but not yet its end."""
+        return self._arriving > 0
 
     @property
     def address(self) -> Address:
@@ -101,15 +110,23 @@
         time_limit = scope.deadline - anyio.current_time()
         latest = anyio.current_time() + LONGEST_CALL_TIME
         chunks = []
-        try:
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(self._pool.release, connection)
             head = await connection.send_request(request)
+            stack.enter_context(self._counting_arrival())
             async for chunk in connection.read_body():
                 scope.deadline = min(anyio.current_time() + time_limit, latest)
                 chunks.append(chunk)
-        finally:
-            await self._pool.release(connection)
         return head.status, b''.join(chunks)
 
+    @contextmanager
+    def _counting_arrival(self) -> Iterator[None]:
+        self._arriving += 1
+        try:
+            yield
+        finally:
+            self._arriving -= 1
+
     def _build_request(
         self, method: str, path: str, document: object
     ) -> OutgoingRequest:
--- a/src/dogwoodmast/direct/store_reader.py
+++ b/src/dogwoodmast/direct/store_reader.py
@@ -66,8 +66,12 @@
 
     @property
     def can_begin(self) -> bool:
-        """Whether another read may begin."""
-        return len(self._pending) < MAX_PENDING_READS
+        """Whether another read may begin.
+
+        While a response arrives, another one would only slow it down.
+        """
+        is_full = len(self._pending) >= MAX_PENDING_READS
+        return not (is_full or self._store.is_arriving)
 
     def begin(self, tasks: TaskGroup, wait: float) -> StoreRead:
         """Begin to read changes, or all keys if there is no copy yet.
--- a/src/dogwoodmast/key_value.py
+++ b/src/dogwoodmast/key_value.py
@@ -176,6 +176,10 @@
 class PolledStore(Store, Protocol):
     """Client of a key-value service that is polled for changes."""
 
+    @property
+    def is_arriving(self) -> bool:
+        """Whether a response has begun to arrive, but is not complete."""
+
     async def aclose(self) -> None:
         """Close idle connections; calls in progress go on."""
 
--- a/src/dogwoodmast/platform/store.py
+++ b/src/dogwoodmast/platform/store.py
@@ -51,6 +51,11 @@
         """Number of calls made so far."""
         return self._http.calls
 
+    @property
+    def is_arriving(self) -> bool:
+        """Whether a response has begun to arrive, but is not complete."""
+        return self._http.is_arriving
+
     async def aclose(self) -> None:
         """Close all idle connections."""
         await self._http.aclose()
--- a/tests/sync_simulation.py
+++ b/tests/sync_simulation.py
@@ -276,6 +276,11 @@
         await anyio.sleep(LINK_LATENCY + delay)
         return _over_wire(answer)
 
+    @property
+    def is_arriving(self) -> bool:
+        """Whether a response has begun to arrive; they come whole here."""
+        return False
+
     async def aclose(self) -> None:
         """Close idle connections, of which there are none."""
 
--- a/tests/test_json_client.py
+++ b/tests/test_json_client.py
@@ -27,8 +27,10 @@
         await stream.send(b'HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\n')
         for _ in range(6):
             await anyio.sleep(0.1)
+            arriving.append(client.is_arriving)
             await stream.send(b'x')
 
+    arriving: list[bool] = []
     address = free_address()
     client = JsonClient(address, SystemClock())
     listener = await anyio.create_tcp_listener(
@@ -40,6 +42,9 @@
         await client.aclose()
         tasks.cancel_scope.cancel()
     assert (status, body) == (200, b'xxxxxx')
+    # No other read of the store may begin meanwhile.
+    assert arriving == [True] * 6
+    assert not client.is_arriving
 
 
 async def test_one_call_is_lost_although_all_idle_connections_are_silent() -> (
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -48,6 +48,11 @@
         """
         return Snapshot(9, (self.holder,) if self.holder else ())
 
+    @property
+    def is_arriving(self) -> bool:
+        """Whether a response has begun to arrive; they come whole here."""
+        return False
+
     async def aclose(self) -> None:
         """Close idle connections, of which there are none."""
 
