Let a vain attempt to read count for the bound only

A VM that was held up in an outage of the store kept the attempt from before as proof that nothing newer could be had, so that its requests did not wait for a check although the outage might have ended meanwhile. The new test failed before; in an outage, attempts follow within six tenths of the bound.

--- a/src/dogwoodmast/direct/copy_freshness.py
+++ b/src/dogwoodmast/direct/copy_freshness.py
@@ -76,6 +76,9 @@
         """
         if not self._was_confirmed or not self.is_outdated(now):
             return False
+        if now - self._vain_since > self._timing.bound:
+            # The VM was held up since, in which an outage may have ended.
+            return True
         # Attempts before the copy was confirmed or overdue prove nothing.
         return self._directory.age(self._vain_since) < self._timing.max_age
 
