Pause for answers that do not echo the attempt ID

A target got up to 230 requests of one VM in a pause, and callers of its keys were served by luck, or waited: an exchange whose response does not carry the attempt ID ended before what the response says was recorded. Every further request was then answered in the same way.

Only the pause is recorded. It is timed from the arrival, so that a late response to an earlier request makes it end too late, never too early. A limit or a leaving of such a response would outlast a mistake.

--- a/src/dogwoodmast/direct/attempt.py
+++ b/src/dogwoodmast/direct/attempt.py
@@ -109,6 +109,11 @@
         fields = parse_response_headers(head.status, head.headers)
         mismatch = self._find_mismatch(fields)
         if mismatch is not None:
+            self._statements.on_pause(
+                self.limiter.target.key,
+                fields.statement.pause,
+                self._clock.monotonic(),
+            )
             return mismatch
         self._statements.on_response(
             self.limiter.target.key,
--- a/src/dogwoodmast/direct/statement_book.py
+++ b/src/dogwoodmast/direct/statement_book.py
@@ -28,6 +28,7 @@
     from collections.abc import Collection
 
     from dogwoodmast.direct.rate_gate import Permit
+    from dogwoodmast.direct.target_statement import PauseStatement
 
 RESUME_SPREAD = 0.25
 """Longest random time after a pause until requests are sent again, in seconds;
@@ -238,15 +239,30 @@
         :param now: Monotonic time, in seconds.
         """
         self.limits.on_response(target, statement.limit, sent_at, now)
-        match statement.pause:
+        self.on_pause(target, statement.pause, now)
+        if statement.is_leaving:
+            self.on_leaving(target)
+
+    def on_pause(
+        self, target: TargetKey, pause: PauseStatement, now: float
+    ) -> None:
+        """Record whether a response asks for a pause.
+
+        A response that does not belong to its request tells this too: if it is
+        late, the pause ends too late, but never too early.  What else it says
+        would outlast a mistake.
+
+        :param target: Target incarnation.
+        :param pause: What the response says of a pause.
+        :param now: Monotonic time, in seconds.
+        """
+        match pause:
             case PauseRequest(seconds):
-                self._on_pause(target, seconds, now)
+                self._start_pause(target, seconds, now)
             case UnreadablePause():
                 self._on_unreadable(target)
             case NoPause():
                 pass
-        if statement.is_leaving:
-            self.on_leaving(target)
 
     def on_leaving(self, target: TargetKey) -> None:
         """Record that a target leaves, as it or another VM says.
@@ -278,7 +294,9 @@
             self._statements.pop(forgotten)
             self._unreadable.discard(forgotten)
 
-    def _on_pause(self, target: TargetKey, seconds: float, now: float) -> None:
+    def _start_pause(
+        self, target: TargetKey, seconds: float, now: float
+    ) -> None:
         known = self.of(target)
         if not known.is_paused(now):
             log_event(Event.TARGET_PAUSED, target=target[0], seconds=seconds)
