Reject requests for paused keys at VMs that do not reach the holder

Callers waited 0.6 s for no-owner, or got owner-unreachable, both without the rest of the pause: a VM that did not reach the holder of a key relayed the request although the holder had asked it for a pause. Other VMs were told to avoid that holder and waited for the key to move.

The pause is now looked at before a request is relayed, and the request is rejected at once as target-paused. Requests without a key are relayed as before; other VMs may use other targets for them.

--- a/src/dogwoodmast/direct/dispatcher.py
+++ b/src/dogwoodmast/direct/dispatcher.py
@@ -296,8 +296,13 @@
             )
         reachable = candidates.within_reach(self._targets.reach)
         if not reachable.limiters:
-            holder = candidates.limiters[0].target.key
-            return Unreachable(None if is_unkeyed else holder)
+            holder = candidates.limiters[0]
+            if is_unkeyed:
+                return Unreachable(None)
+            if holder.statements.is_paused(self._clock.monotonic()):
+                # Other VMs are told to avoid the holder.
+                return self._reject_restricted(progress, candidates)
+            return Unreachable(holder.target.key)
         return await self._occupy_slot(progress, reachable)
 
     async def _occupy_slot(
@@ -318,9 +323,7 @@
             return self._rejections.give_up(progress, ProblemType.OVERLOADED)
         usable = untried.admitting(call.route.priority, self._clock.monotonic())
         if not usable.limiters:
-            return self._rejections.reject_restricted(
-                progress, untried, self._targets.statements.limits
-            )
+            return self._reject_restricted(progress, untried)
         size = self._sizes.get(call.route.name, 0)
         # A free slot belongs to the requests that already wait for one.
         limiter = self._targets.choose(usable, size)
@@ -329,6 +332,13 @@
             return limiter
         return await self._wait_in_queue(progress, usable, tried)
 
+    def _reject_restricted(
+        self, progress: Progress, candidates: Candidates
+    ) -> Rejected:
+        return self._rejections.reject_restricted(
+            progress, candidates, self._targets.statements.limits
+        )
+
     async def _await_holder(self, progress: Progress) -> Candidates | None:
         """Wait until a target holds the key.
 
