Tell callers of paused keys of the pause although the target counts as down

Callers were told to return in 0.3 s, as no-owner, during pauses of seconds. A target whose 503 had a body that broke off, or no attempt ID, counted as one that does not respond, and that was looked at before its pause. A target that has asked for a pause has responded.

--- a/src/dogwoodmast/direct/dispatcher.py
+++ b/src/dogwoodmast/direct/dispatcher.py
@@ -311,9 +311,8 @@
         """Occupy a slot at one of the targets that this VM reaches."""
         call = progress.call
         is_unkeyed = call.shard_key is None
-        if not is_unkeyed and reachable.limiters[0].is_down(
-            self._clock.monotonic()
-        ):
+        now = self._clock.monotonic()
+        if not is_unkeyed and _is_down(reachable.limiters[0], now):
             return self._rejections.reject(
                 progress, ProblemType.NO_OWNER, NO_OWNER_RETRY_DELAY
             )
@@ -321,7 +320,7 @@
         untried = reachable.without(tried)
         if not untried.limiters:
             return self._rejections.give_up(progress, ProblemType.OVERLOADED)
-        usable = untried.admitting(call.route.priority, self._clock.monotonic())
+        usable = untried.admitting(call.route.priority, now)
         if not usable.limiters:
             return self._reject_restricted(progress, untried)
         size = self._sizes.get(call.route.name, 0)
@@ -424,3 +423,8 @@
             return ProblemType.OVERLOADED
         case _:
             return ProblemType.EXCHANGE_BROKEN
+
+
+def _is_down(holder: TargetLimiter, now: float) -> bool:
+    """Tell whether a holder is down; one that has asked for a pause is up."""
+    return holder.is_down(now) and not holder.statements.is_paused(now)
