Spread the returns of callers during pauses longer than they wait

Callers honour at most a third of their time, and during a longer pause each was told exactly that third: requests that were rejected together returned together. The base of the delay now leaves room for the jitter, as it does for rate limits; the delay is drawn from two thirds of that time to all of it. Where a pause ends within that range, some return up to a ninth of their time too early.

--- a/src/dogwoodmast/direct/rejections.py
+++ b/src/dogwoodmast/direct/rejections.py
@@ -8,7 +8,7 @@
 import attrs
 
 from dogwoodmast.clock import Clock
-from dogwoodmast.direct.admission_queue import retry_delay
+from dogwoodmast.direct.admission_queue import RETRY_JITTER, retry_delay
 from dogwoodmast.direct.call import Broken, Rejected
 from dogwoodmast.direct.rate_keeper import MIN_RATE
 from dogwoodmast.direct.statement_book import Leaving, Paused
@@ -101,6 +101,9 @@
             # Callers honour a third of their time; a longer wait is drawn
             # within it, so that they do not all return at its end.
             wait = min(wait, latest * (1 + self._random.random()) / 3)
+        else:
+            # Leaves room for the jitter, for the same reason.
+            wait = min(wait, latest / (1 + RETRY_JITTER))
         return self.reject(progress, kind, wait)
 
 
