--- a/src/dogwoodmast/direct/dispatcher.py
+++ b/src/dogwoodmast/direct/dispatcher.py
@@ -310,8 +310,13 @@
             )
         reachable = candidates.within_reach(self._targets.reach)
         if not reachable.limiters:
-            holder = candidates.limiters[0].target.key
-            return Unreachable(None if is_unkeyed else holder)
+            holder = candidates.limiters[0]
+            if is_unkeyed:
+                return Unreachable(None)
+            if holder.statements.is_paused(self._clock.monotonic()):
+                # Other VMs are told to avoid the holder.
+                return self._reject_restricted(progress, candidates)
+            return Unreachable(holder.target.key)
         return await self._occupy_slot(progress, reachable)
 
     async def _occupy_slot(
@@ -320,9 +325,8 @@
         """Occupy a slot at one of the targets that this VM reaches."""
         call = progress.call
         is_unkeyed = call.shard_key is None
-        if not is_unkeyed and reachable.limiters[0].is_down(
-            self._clock.monotonic()
-        ):
+        now = self._clock.monotonic()
+        if not is_unkeyed and _is_down(reachable.limiters[0], now):
             return self._rejections.reject(
                 progress, ProblemType.NO_OWNER, NO_OWNER_RETRY_DELAY
             )
@@ -330,11 +334,9 @@
         untried = reachable.without(tried)
         if not untried.limiters:
             return self._rejections.give_up(progress, ProblemType.OVERLOADED)
-        usable = untried.admitting(call.route.priority, self._clock.monotonic())
+        usable = untried.admitting(call.route.priority, now)
         if not usable.limiters:
-            return self._rejections.reject_restricted(
-                progress, untried, self._targets.statements.limits
-            )
+            return self._reject_restricted(progress, untried)
         size = self._sizes.get(call.route.name, 0)
         # A free slot belongs to the requests that already wait for one.
         limiter = self._targets.choose(usable, size)
@@ -343,6 +345,13 @@
             return limiter
         return await self._wait_in_queue(progress, usable, tried)
 
+    def _reject_restricted(
+        self, progress: Progress, candidates: Candidates
+    ) -> Rejected:
+        return self._rejections.reject_restricted(
+            progress, candidates, self._targets.statements.limits
+        )
+
     async def _await_holder(self, progress: Progress) -> Candidates | None:
         """Wait until a target holds the key.
 
@@ -439,3 +448,8 @@
             return ProblemType.OVERLOADED
         case _:
             return ProblemType.EXCHANGE_BROKEN
+
+
+def _is_down(holder: TargetLimiter, now: float) -> bool:
+    """Tell whether a holder is down; one that has asked for a pause is up."""
+    return holder.is_down(now) and not holder.statements.is_paused(now)
