--- a/tests/test_dispatcher_history.py
+++ b/tests/test_dispatcher_history.py
@@ -310,3 +310,24 @@
 
 TestHistories = Histories.TestCase
 TestHistories.settings = settings(max_examples=200, stateful_step_count=60)
+
+
+def test_target_that_closes_an_aborted_exchange_frees_its_slot() -> None:
+    """The target has closed a connection when its exchange is aborted.
+
+    The model counted the request as running on its slot until its deadline, as
+    if the entry VM had closed the connection.
+    """
+    history = Histories()
+    history.grant_first_lease()
+    for _ in range(29):
+        history.advance(0.01)
+    history.check(body=b'\0', timeout=0.05, vm=LEASEHOLDER)
+    history.answer(pick=0, count=1)
+    history.pay(body=b'\0', timeout=0.05, vm=LEASEHOLDER, clock_lead=-0.4)
+    history.check(body=b'\0', timeout=0.5, vm=LEASEHOLDER)
+    history.lose_lease(0.1)
+    history.fail(connected=True, pick=1)
+    history.check(body=b'\0', timeout=0.05, vm=LEASEHOLDER)
+    tickets = [one.start.submission.ticket for one in history.model.running]
+    assert tickets == [2, 4]
--- a/tests/test_target_proxy.py
+++ b/tests/test_target_proxy.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import math
+import socket
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
@@ -13,10 +15,17 @@
 import uuid6
 import uvicorn
 
-from dogwoodmast.backend import Grant
+from dogwoodmast.address import Address
+from dogwoodmast.backend import BackendConnection, Grant
 from dogwoodmast.clock import SystemClock
 from dogwoodmast.configuration import RequestKind, Service, Target
-from dogwoodmast.dispatch_messages import Moved
+from dogwoodmast.dispatch_messages import (
+    ExchangeFailed,
+    FailureCause,
+    Moved,
+    StartExchange,
+    Submission,
+)
 from dogwoodmast.dispatch_right import Right
 from dogwoodmast.ledger import CLOCK_MARGIN
 from dogwoodmast.load_meter import LoadMeter
@@ -24,7 +33,9 @@
 from dogwoodmast.quarantine import Quarantine
 from dogwoodmast.request import Request, Response
 from dogwoodmast.standins.backend import BackendStandIn
+from dogwoodmast.target_control import TargetControl
 from dogwoodmast.target_proxy import TargetProxy
+from dogwoodmast.target_slot import ExchangeEvent, SlotContext, SlotTask
 from fleet import free_addresses
 
 if TYPE_CHECKING:
@@ -226,3 +237,44 @@
         extract = harness.proxy.export_ledger(GRANT)
         assert extract is not None
         assert len(extract.entries) == 1
+
+
+@pytest.mark.parametrize(
+    ('closed_first', 'cause'),
+    [(False, FailureCause.ABORTED), (True, FailureCause.CLOSED)],
+)
+async def test_end_of_an_aborted_exchange_tells_who_closed_it(
+    closed_first: bool, cause: FailureCause
+) -> None:
+    """An abort is reported as such unless the target closed before it.
+
+    The dispatcher frees a slot at once only if the target closed, so an abort
+    must not be reported as a connection that the target closed.
+    """
+    events: list[ExchangeEvent] = []
+    loop = asyncio.get_running_loop()
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        listener.setblocking(False)
+        address = Address('127.0.0.1', listener.getsockname()[1])
+        target = Target('t', 'pikine', address, slots=1, connections=4)
+        context = SlotContext(CLOCK, TargetControl(address), 'x', events.append)
+        slot = SlotTask(0, BackendConnection(target), context)
+        request = Request('balance', 'k', 'GET', '/', _now() + 2)
+        submission = Submission(1, request, CHECK, GRANT)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(slot.run)
+            slot.start(StartExchange(submission, 0, request.deadline))
+            connection, _ = await loop.sock_accept(listener)
+            with connection:
+                await loop.sock_recv(connection, 10_000)
+                if closed_first:
+                    # Timers run after the callbacks of the sockets, so that
+                    # the slot's task is about to handle the close.
+                    connection.close()
+                    loop.call_later(0, slot.abort)
+                else:
+                    slot.abort()
+                await wait_until(lambda: bool(events))
+            tasks.cancel_scope.cancel()
+    assert isinstance(events[0], ExchangeFailed)
+    assert events[0].cause is cause
