Let SIGTERM end a process of the soak only before it has started

The plan killed vm0, started it again and sent SIGTERM 0.8 s later.

Cause: SIGTERM came while the interpreter was loading. On a quiet machine it ends the process with -15 up to 0.4 s after its start, and from 0.5 s on the process stops with status 0. With an interpreter delayed by 1.2 s the plan failed in the same way, without the delay it passed.

This is no fault of the entry VM: it installs its handlers before it opens the first listener or registers itself, and holds a signal that comes then until it has started, so that nothing is lost by an earlier end. A handler as the first thing of the process would not change that a signal ends it sooner, while the interpreter starts and finds its modules.

The check now allows exactly this: an end by SIGTERM of a process whose own part of the log has no VM_STARTED. Any other status, and an end by a signal after the start, are found as before, and a test says so. A second test sends SIGTERM to a process 0 to 1.6 s after its start: one that it ends has logged nothing, every other one stops completely. In a trial that installs the handlers 0.6 s after the start it fails.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import signal
 import tempfile
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -13,6 +14,7 @@
 import anyio
 import attrs
 import hypothesis
+import pytest
 
 from cut_path import Cut
 from history import Call, CallOutcome, Run, Violation
@@ -23,6 +25,7 @@
     check_graceful_stops,
     check_limits,
     check_response_times,
+    is_clean_stop,
     run_plan,
 )
 from soak_plan import (
@@ -117,6 +120,28 @@
     assert not check_graceful_stops([STOP, DRAIN], replaced, observations)
 
 
+@pytest.mark.parametrize(
+    ('status', 'events', 'is_clean'),
+    [
+        (0, 'VM_STARTED VM_STOPPING VM_STOPPED', True),
+        (-signal.SIGTERM, '', True),
+        (-signal.SIGTERM, 'VM_STARTED', False),
+        (-signal.SIGTERM, 'VM_STARTED VM_STOPPING VM_STOPPED', False),
+        (-signal.SIGHUP, '', False),
+        (1, '', False),
+    ],
+)
+def test_stop_by_a_signal_after_the_start_is_detected(
+    status: int, events: str, is_clean: bool
+) -> None:
+    """The soak's check finds processes that SIGTERM ended after their start.
+
+    SIGTERM may end a process while its interpreter loads, since nothing is lost
+    then.  No other status may be passed over with it.
+    """
+    assert is_clean_stop(status, events.encode()) == is_clean
+
+
 def test_request_after_draining_is_detected() -> None:
     """The soak's check finds requests to targets that have drained.
 
--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -134,6 +134,37 @@
     assert 'VM_STOPPED' in log.read_text()
 
 
+@pytest.mark.parametrize('delay', [0, 0.1, 0.2, 0.4, 0.8, 1.6])
+def test_signal_ends_a_vm_only_before_it_has_started(
+    tmp_path: pathlib.Path, delay: float
+) -> None:
+    """SIGTERM comes while the interpreter loads, or the VM starts.
+
+    Guards against a VM that serves, or is registered, before it handles the
+    signals that stop it: requests would be cut off.
+    """
+    settings = write_settings(tmp_path, free_address(), free_address())
+    log = tmp_path / 'log'
+    with log.open('wb') as output:
+        process = subprocess.Popen(
+            [sys.executable, '-m', 'dogwoodmast.direct', str(settings)],
+            stdout=output,
+        )
+    try:
+        time.sleep(delay)
+        process.send_signal(signal.SIGTERM)
+        status = process.wait(STOP_TIMEOUT)
+    finally:
+        process.kill()
+        process.wait()
+    events = log.read_text()
+    if status == -signal.SIGTERM:
+        assert not events
+    else:
+        assert status == 0
+        assert 'VM_STOPPED' in events
+
+
 @pytest.mark.anyio
 async def test_handler_of_a_vm_that_was_cancelled_takes_later_signals() -> None:
     """Two VMs of one process end in the order in which they began."""
