Count a crash at once if another target was reached before it is asked about

Cause: a crash counts once a target of the service can be connected to after it. Between the failed connection and ReachTracker.confirm() the broken connection is closed, and other tasks run. If a probe reaches a target just then, the news is lost: the crash counts at the next new connection, which is the probe of a failing target 0.5 s later, and meanwhile another VM sends the request to targets that it crashes.

The tracker now remembers which targets failed before one was connected to, until they fail again or the VM is cut off, and confirms such a crash at once. A connection before the last failure, and those that end a cut, prove nothing as before.

--- a/src/dogwoodmast/direct/reach.py
+++ b/src/dogwoodmast/direct/reach.py
@@ -50,6 +50,7 @@
     """Whether the VM counts as cut off from the service."""
     _failing: set[TargetKey] = attrs.field(factory=set)
     _failed_in_row: set[TargetKey] = attrs.field(factory=set)
+    _confirmed: set[TargetKey] = attrs.field(factory=set)
 
     @property
     def failing(self) -> frozenset[TargetKey]:
@@ -72,6 +73,12 @@
         """Targets that did not fail since one could be connected to."""
         return self.listed - self._failed_in_row
 
+    @property
+    def confirmed(self) -> frozenset[TargetKey]:
+        """Targets whose last failure is known not to be a cut, since a target
+        was connected to after it."""
+        return frozenset(self._confirmed)
+
     def update(self, listed: frozenset[TargetKey]) -> None:
         """Apply a new list of targets.
 
@@ -82,6 +89,7 @@
         self.listed = listed
         self._failing &= listed
         self._failed_in_row &= listed
+        self._confirmed &= listed
         if self.is_cut and len(listed) < MIN_TARGETS:
             self.is_cut = False
 
@@ -90,6 +98,8 @@
 
         :param target: Target incarnation.
         """
+        if not self.is_cut:
+            self._confirmed |= self._failed_in_row
         self._failing.discard(target)
         self._failed_in_row.clear()
         reached = len(self.listed) - len(self._failing)
@@ -104,11 +114,13 @@
         """
         self._failing.add(target)
         self._failed_in_row.add(target)
+        self._confirmed.discard(target)
         is_cut = (
             len(self.listed) >= MIN_TARGETS and self._failing >= self.listed
         )
         if is_cut and not self.is_cut:
             self.is_cut = True
+            self._confirmed.clear()
             log_event(
                 Event.TARGETS_UNREACHABLE,
                 service=self.service,
@@ -193,10 +205,13 @@
 
         :param target: Target that seems to have ended.
         :param action: Called when any target of its service can be connected
-            to; dropped when the VM turns out to be cut off from the service.
+            to, at once if one was since the target failed; dropped when the VM
+            turns out to be cut off from the service.
         """
         service = self._service_of.get(target)
-        if service is None or not service.is_cut:
+        if service is not None and target in service.confirmed:
+            action()
+        elif service is None or not service.is_cut:
             self._unconfirmed.append((target, action))
 
     def on_connect(self, target: TargetKey, *, is_open: bool) -> None:
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -149,6 +149,39 @@
     assert told == ['crash']
 
 
+def test_crash_is_told_late_since_a_probe_was_quick(
+    reach: ReachTracker,
+) -> None:
+    """A probe reached another target before the crash was asked about.
+
+    The news of it was lost, and the crash counted at the next connection only,
+    half a second later.  Until then the request crashed other targets.
+    """
+    told: list[str] = []
+    fail_connection(reach, TARGETS[0])
+    reach.on_connect(TARGETS[1], is_open=True)
+    reach.confirm(TARGETS[0], lambda: told.append('crash'))
+    assert told == ['crash']
+
+
+def test_earlier_connection_tells_a_cut_as_a_crash(reach: ReachTracker) -> None:
+    """What was reached before the last failure, or in a cut, proves nothing."""
+    told: list[str] = []
+    fail_connection(reach, TARGETS[0])
+    reach.on_connect(TARGETS[1], is_open=True)
+    fail_connection(reach, TARGETS[0])
+    reach.confirm(TARGETS[0], lambda: told.append('failed again'))
+    assert not told
+    reach.on_connect(TARGETS[1], is_open=True)
+    assert told == ['failed again']
+    for target in TARGETS[1:]:
+        fail_connection(reach, target)
+    for target in TARGETS[-HEALED_TARGETS:]:
+        reach.on_connect(target, is_open=True)
+    reach.confirm(TARGETS[0], lambda: told.append('failed before a cut'))
+    assert told == ['failed again']
+
+
 @pytest.mark.parametrize('count', [3, 26, 161])
 def test_cut_from_many_targets_is_found_out_late(count: int) -> None:
     """All are probed within ``CUT_BUDGET``, although connections hang."""
