Reset each connection of the stand-in that crashes, also the newest

Seen: test_request_that_crashes_targets_is_quarantined failed in 1 of 10 trials with a stalled event loop: a crash was not counted, since a probe had opened a connection to the target in the same instant and it was still open.

Cause: the stand-in resets the connections whose handlers run. One that was accepted one or two turns of the event loop before the crash has no handler yet, so that it outlived the crash and was answered on; no process that ends leaves such a connection. The handler now resets it.

--- a/tests/crashing_target.py
+++ b/tests/crashing_target.py
@@ -31,12 +31,14 @@
     """Address at which the target listens."""
     crashes: int = 0
     """Number of crashes so far."""
+    _is_down: bool = False
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
     async def start(self) -> None:
         """Start to accept connections."""
+        self._is_down = False
         self._server = await asyncio.start_server(
             self._serve, self.address.host, self.address.port
         )
@@ -48,6 +50,7 @@
         self._close()
 
     def _close(self) -> None:
+        self._is_down = True
         if self._server is not None:
             self._server.close()
         for writer in self._writers:
@@ -56,6 +59,10 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self._is_down:
+            # Accepted just before the crash.
+            writer.transport.abort()
+            return
         self._writers.add(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+
 import anyio
 import httpcore
 import orjson
@@ -291,6 +294,40 @@
     assert sum(target.crashes for target in targets) == MAX_CRASHES
 
 
+@pytest.mark.parametrize('turns', range(6))
+async def test_connection_outlives_the_crash_of_its_target(turns: int) -> None:
+    """A connection that was opened just before a crash is reset as well.
+
+    Guards against a fault of the stand-in itself: it went on answering on such
+    a connection, so that a VM did not take the crash for one.
+
+    :param turns: Turns of the event loop between the new connection and the
+        request that crashes the target.
+    """
+    target = CrashingTarget(free_address())
+    at = target.address
+    message = b'GET %b HTTP/1.1\r\nrequest-attempt-id: 1\r\n\r\n'
+    async with serving_targets(target):
+        answers, earlier = await asyncio.open_connection(at.host, at.port)
+        earlier.write(message % b'/x')
+        await answers.readuntil(b'ok')
+        opening = asyncio.create_task(asyncio.open_connection(at.host, at.port))
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        earlier.write(message % b'/poison')
+        response = b''
+        with contextlib.suppress(ConnectionResetError):
+            reader, writer = await opening
+            while not target.crashes:
+                await anyio.sleep(0.01)
+            writer.write(message % b'/x')
+            response = await reader.read(1)
+            writer.close()
+        earlier.close()
+    assert target.crashes == 1
+    assert not response
+
+
 async def test_deadline_is_kept() -> None:
     """A request that takes too long is answered at its deadline.
 
