Give no address to two parts of a test fleet

Seen: tests of fleets in one process fail now and then with an exception in place of an assertion, such as one of the limits of targets.

Cause, of such failures since ports are drawn from a fixed range: the addresses of a fleet are found one by one, each drawn anew, and nothing listens at the first ones when the next are found.

All calls in a process now go through the same order of ports, so that none is returned again before all others were.

Another process that finds addresses at the same time may still take one; the order is its own, so that this takes two draws of the same port within the moments until the fleet listens.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import os
 import random
@@ -127,22 +128,28 @@
         return parsed
 
 
+_ports = itertools.cycle(
+    random.Random(f'{os.getpid()} {time.monotonic_ns()}').sample(
+        FLEET_PORTS, len(FLEET_PORTS)
+    )
+)
+"""Ports in the order in which this process uses them."""
+
+
 def free_addresses(count: int) -> list[Address]:
     """Find loopback addresses that no process uses.
 
-    All candidates stay bound until the end, so that none is returned twice.
+    No address is returned twice, also by later calls, until all others were:
+    what is to listen at an address may not do so yet when the next is found.
 
     :param count: Number of addresses.
     :return: Addresses with ports of ``FLEET_PORTS``.
     """
-    ports = random.Random(f'{os.getpid()} {time.monotonic_ns()}').sample(
-        FLEET_PORTS, len(FLEET_PORTS)
-    )
     found: list[Address] = []
     with ExitStack() as stack:
         while len(found) < count:
             candidate = stack.enter_context(socket.socket())
-            port = ports.pop()
+            port = next(_ports)
             with suppress(OSError):
                 candidate.bind((HOST, port))
                 found.append(Address(HOST, port))
