--- a/src/dogwoodmast/direct/dispatcher.py
+++ b/src/dogwoodmast/direct/dispatcher.py
@@ -35,7 +35,7 @@
 from dogwoodmast.direct.settings import Bounds
 from dogwoodmast.direct.shard_view import ShardView
 from dogwoodmast.direct.target_set import TargetSet
-from dogwoodmast.problem import Outcome, Problem, ProblemType
+from dogwoodmast.problem import ProblemType
 from dogwoodmast.quarantine import Quarantine
 
 if TYPE_CHECKING:
@@ -117,7 +117,7 @@
     ) -> Rejected | Delivered:
         while True:
             if self._is_quarantined(progress.call):
-                rejected = self._reject_quarantined(progress)
+                rejected = self._rejections.reject_quarantined(progress)
                 return await self._finish(progress, rejected, deliver)
             limiter = await self._acquire_slot(progress)
             if isinstance(limiter, Unreachable):
@@ -138,13 +138,6 @@
                 )
                 return await self._finish(progress, rejected, deliver)
 
-    def _reject_quarantined(self, progress: Progress) -> Rejected:
-        if progress.may_have_run:
-            return self._rejections.give_up(
-                progress, ProblemType.EXCHANGE_BROKEN
-            )
-        return Rejected(Problem(ProblemType.QUARANTINED, Outcome.NOT_RUN))
-
     def _is_quarantined(self, call: Call) -> bool:
         now = self._clock.monotonic()
         return self.quarantine.is_quarantined(call.fingerprint, now)
--- a/src/dogwoodmast/direct/rejections.py
+++ b/src/dogwoodmast/direct/rejections.py
@@ -72,6 +72,16 @@
             progress, ProblemType.OVERLOADED, NO_OWNER_RETRY_DELAY
         )
 
+    def reject_quarantined(self, progress: Progress) -> Rejected:
+        """Reject a request that crashes targets.
+
+        :param progress: State of the request.
+        :return: The rejection.
+        """
+        if progress.may_have_run:
+            return self.give_up(progress, ProblemType.EXCHANGE_BROKEN)
+        return Rejected(Problem(ProblemType.QUARANTINED, Outcome.NOT_RUN))
+
     def reject_restricted(
         self, progress: Progress, candidates: Candidates, limits: NamedLimits
     ) -> Rejected:
