Show that pauses keep a VM that is cut off from relaying requests

It relays only when it reaches none. Not mended here: if the unreachable targets have ended, each such request would be relayed twice in vain.

--- a/tests/test_pause_budget.py
+++ b/tests/test_pause_budget.py
@@ -202,3 +202,14 @@
     """A pause of one target leaves the others of its service."""
     fleet = play(seed, (Refusal.REFUSED,), faults=False)
     assert not needless_refusals(fleet)
+
+
+@pytest.mark.parametrize('seed', [204, 205])
+def test_vm_that_is_cut_off_refuses_for_a_pause_without_relaying(
+    seed: int,
+) -> None:
+    """All targets that it reaches are paused; other VMs reach willing ones."""
+    fleet = play(seed, (Refusal.REFUSED,))
+    assert len(fleet.vms) > 1
+    found = [one for one in needless_refusals(fleet) if not one.seconds]
+    assert not found, len(found)
