Make no calls while a resignation is under way

Cause: a coordinator that resigned went on to grant keys until the store's answer was there, and after a lost answer until a renewal was turned away, while another VM could have the role.

Change: it stops to act before it asks. If the store could not be reached, nothing was sent and it goes on; if the answer is lost, it goes on after a renewal that began later has succeeded.

Evidence: test_coordinator_that_resigns_acts_no_more and test_unanswered_resignation_ends_when_the_lease_is_renewed fail with the code before (the VM could act at each moment).

--- a/src/dogwoodmast/direct/leadership.py
+++ b/src/dogwoodmast/direct/leadership.py
@@ -18,6 +18,7 @@
     MalformedFrame,
     PlatformAnswerLost,
     PlatformError,
+    PlatformUnavailable,
 )
 from dogwoodmast.events import Event, log_event
 from dogwoodmast.key_value import MISSING_REVISION, Expectation, Put
@@ -69,15 +70,28 @@
         self._valid_until = float('-inf')
         self._term: CoordinatorTerm | None = None
         self._confirmed_at = float('-inf')
+        self._confirmed_again_from = float('-inf')
         self._confirming = anyio.Lock()
 
     @property
     def term(self) -> CoordinatorTerm | None:
-        """Current term, or ``None`` if this VM may not act as coordinator."""
+        """Current term, or ``None`` if this VM is not the coordinator."""
         if self._clock.monotonic() >= self._valid_until:
             return None
         return self._term
 
+    @property
+    def may_act(self) -> bool:
+        """Whether this VM is the coordinator and has not begun to resign.
+
+        After a resignation whose outcome is not known, it acts again once a
+        renewal has shown that the lease still stands.
+        """
+        return (
+            self.term is not None
+            and self._confirmed_at >= self._confirmed_again_from
+        )
+
     @property
     def expectation(self) -> Expectation:
         """Compare-and-swap condition that this VM is the coordinator.
@@ -128,6 +142,7 @@
             await self._store.revoke_lease(lease)
             return None
         self._term = CoordinatorTerm(revision, lease)
+        self._confirmed_again_from = float('-inf')
         self._on_confirmed(requested_at)
         log_event(Event.ROLE_TAKEN, vm=self._record.name, epoch=revision)
         return self._term
@@ -154,7 +169,8 @@
         can have begun only after the time at which this one was confirmed.
 
         :param since: Monotonic time in seconds, not in the future.
-        :return: Whether the lease stood; not if the store gave no answer.
+        :return: Whether the lease stood, and this VM has not begun to resign;
+            not if the store gave no answer.
         """
         async with self._confirming:
             term = self.term
@@ -163,23 +179,30 @@
                     await self._renew(term)
                 except PlatformError as error:
                     log_event(Event.RENEWAL_FAILED, reason=error.message)
-        return self.term is not None and self._confirmed_at >= since
+        return self.may_act and self._confirmed_at >= since
 
     async def resign(self) -> None:
         """Revoke the lease, so that another VM can take over at once.
 
-        If the store does not answer, no other VM could take over either; the
-        term then continues until its lease expires.
+        Another VM may have the role before the store's answer is here, so this
+        one stops to act first.  If the store cannot be reached, it goes on; if
+        the answer is lost, it goes on once a renewal has succeeded.
         """
         term = self._term
         if term is None:
             return
+        confirmed_again_from = self._confirmed_again_from
+        self._confirmed_again_from = float('inf')
         try:
             await self._store.revoke_lease(term.lease)
+        except PlatformUnavailable as error:
+            log_event(Event.RENEWAL_FAILED, reason=error.message)
+            self._confirmed_again_from = confirmed_again_from
         except PlatformError as error:
             log_event(Event.RENEWAL_FAILED, reason=error.message)
-            return
-        self._end_term()
+            self._confirmed_again_from = self._clock.monotonic()
+        else:
+            self._end_term()
 
     def _is_own_content(self, content: bytes) -> bool:
         """Tell whether a stored record is the local VM's; not if unreadable."""
--- a/src/dogwoodmast/direct/shard_coordinator.py
+++ b/src/dogwoodmast/direct/shard_coordinator.py
@@ -32,7 +32,11 @@
     pack_record,
     unpack_record,
 )
-from dogwoodmast.direct.target_control import GRANT_TIMEOUT, TargetControl
+from dogwoodmast.direct.target_control import (
+    GRANT_TIMEOUT,
+    ControlResult,
+    TargetControl,
+)
 from dogwoodmast.direct.target_latencies import (
     TargetLatencies,
     limited_capacity,
@@ -276,11 +280,12 @@
     async def _make_call(self, call: TargetCall) -> None:
         control = self._get_control(call.target)
         sent = self._clock.monotonic()
-        result = await control.call(
-            call,
-            lambda: self._leadership.term is not None,
-            self._leadership.confirm,
-        )
+        if self._leadership.may_act:
+            result = await control.call(
+                call, lambda: self._leadership.may_act, self._leadership.confirm
+            )
+        else:
+            result = ControlResult(GrantAnswer.WITHHELD)
         now = self._clock.monotonic()
         if result.answer is not GrantAnswer.ACCEPTED:
             _log_failure(call, result.answer)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import anyio
 import attrs
 import pytest
@@ -36,7 +38,11 @@
     holder: StoredValue | None = None
     """Value of the key, or ``None`` if there is no coordinator."""
     is_down: bool = False
-    """Whether a revocation fails because the store is unreachable."""
+    """Whether calls on leases fail because the store is unreachable."""
+    loses_revocations: bool = False
+    """Whether the answer to a revocation is lost before it takes effect."""
+    during_revocation: Callable[[], None] | None = None
+    """Called while a revocation is under way."""
     loses_answers: bool = False
     """Whether the answer to a write is lost after it took effect."""
     revoked_leases: list[int] = attrs.field(factory=list)
@@ -119,12 +125,17 @@
 
         :param lease: Lease to revoke.
         :raises PlatformUnavailable: If ``is_down`` is set.
+        :raises PlatformAnswerLost: If ``loses_revocations`` is set.
         """
         if self.is_down:
             raise PlatformUnavailable('store')
+        if self.loses_revocations:
+            raise PlatformAnswerLost('store')
         self.revoked_leases.append(lease)
         if self.holder is not None and self.holder.lease == lease:
             self.holder = None
+        if self.during_revocation is not None:
+            self.during_revocation()
 
 
 async def win_role(
@@ -239,6 +250,43 @@
     assert leadership.term is None
 
 
+async def test_coordinator_that_resigns_acts_no_more() -> None:
+    """Another VM may have the role before the store's answer is here."""
+    store = CoordinatorKeyStore()
+    leadership, _ = await win_role(store)
+    assert leadership.may_act
+    permissions = []
+    store.during_revocation = lambda: permissions.append(leadership.may_act)
+    await leadership.resign()
+    assert permissions == [False]
+    assert not leadership.may_act
+
+
+async def test_unanswered_resignation_ends_when_the_lease_is_renewed() -> None:
+    """A VM that cannot tell whether it resigned acts only by a later renewal.
+
+    Guards against two coordinators, and against keys that nobody renews.
+    """
+    store = CoordinatorKeyStore(loses_revocations=True)
+    leadership, clock = await win_role(store)
+    clock.advance(0.5)
+    await leadership.resign()
+    assert leadership.term is not None
+    assert not leadership.may_act
+    clock.advance(0.1)
+    assert await leadership.confirm(clock.monotonic())
+    assert leadership.may_act
+
+
+async def test_resignation_that_was_not_sent_leaves_the_term_as_it_was() -> (
+    None
+):
+    """The keys are renewed while the store cannot be reached."""
+    leadership, _ = await win_role(CoordinatorKeyStore(is_down=True))
+    await leadership.resign()
+    assert leadership.may_act
+
+
 async def test_revoked_lease_is_found_out_by_a_confirmation() -> None:
     """A coordinator learns that the store has revoked its lease.
 
