Take the role only with the lease that the record is bound to

Callers saw nothing that is known of; found by reading who may act on what.

Cause: if the answer to a campaign's write was lost, the VM looked for its own record in the store and compared the content only. A write of an earlier campaign that the store executes late has the same content and another lease. The VM then renewed a lease that the record is not bound to: the record vanishes, another VM takes the role, and the renewals of the first go on to succeed, so that two coordinators act without end.

Change: the record counts only with the lease of the campaign.

Evidence: test_record_of_an_earlier_campaign_gives_no_term failed before (a term began).

--- a/src/dogwoodmast/direct/leadership.py
+++ b/src/dogwoodmast/direct/leadership.py
@@ -220,12 +220,17 @@
                 (Put(COORDINATOR_KEY, content, lease),),
             )
         except PlatformAnswerLost:
-            return await self._find_own_record(content)
+            return await self._find_own_record(content, lease)
         return swap.revision if swap.succeeded else None
 
-    async def _find_own_record(self, content: bytes) -> int | None:
+    async def _find_own_record(self, content: bytes, lease: int) -> int | None:
+        """Tell the revision of a record that may have been written.
+
+        A write of an earlier campaign may be executed late, with the same
+        content and the lease of that campaign.
+        """
         found = (await self._store.read(COORDINATOR_KEY)).first
-        if found is None or found.value != content:
+        if found is None or (found.value, found.lease) != (content, lease):
             return None
         return found.revision
 
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -47,6 +47,8 @@
     """Whether the answer to a write is lost after it took effect."""
     revoked_leases: list[int] = attrs.field(factory=list)
     """Leases that were revoked."""
+    executes_before: StoredValue | None = None
+    """Value that an earlier write puts right before the next write."""
     renewals: int = 0
     """Number of renewals that were asked for."""
 
@@ -93,6 +95,9 @@
         :return: Whether the key was written.
         :raises PlatformAnswerLost: If ``loses_answers`` is set.
         """
+        if self.executes_before is not None:
+            self.holder = self.executes_before
+            raise PlatformAnswerLost('store')
         if self.holder is not None:
             return SwapResult(succeeded=False, revision=9)
         put = writes[0]
@@ -212,6 +217,23 @@
     assert leadership.term.epoch == 9
 
 
+async def test_record_of_an_earlier_campaign_gives_no_term() -> None:
+    """A record that is bound to another lease than the new one is no term.
+
+    Guards against a coordinator that renews a lease which its record is not
+    bound to, while another VM takes the role.
+    """
+    store = CoordinatorKeyStore(loses_answers=True)
+    await win_role(store)
+    assert store.holder is not None
+    earlier = attrs.evolve(store.holder, lease=5)
+    store.holder = None
+    store.executes_before = earlier
+    leadership = Leadership(RECORD, store, ManualClock())
+    assert await leadership.campaign() is None
+    assert leadership.term is None
+
+
 async def test_term_ends_before_the_lease_expires() -> None:
     """Without renewals the term is over when the lease may have expired.
 
