Go on to act if the store declines a resignation

Cause: a coordinator that asks to end its lease acts no more until a renewal that began later has succeeded, unless nothing was sent. Answers 429 and 503 counted as if the lease might have ended, though such calls have no effect. A VM that resigns since it does not reach targets asks again each 0.2 s, and renewals follow each 0.8 s. While the store takes renewals but no writes (429), it therefore kept the role and made hardly any call to a target.

Change: these two statuses are a failure of their own, a call without effect.

Evidence: test_resignation_that_the_store_declines_ends_no_right failed before for both statuses (the VM could not act).

Ruled out: the same for all error statuses; a 500 or 502 tells nothing of the effect.

--- a/src/dogwoodmast/errors.py
+++ b/src/dogwoodmast/errors.py
@@ -43,6 +43,19 @@
         return f'platform at {self.endpoint} cannot be reached'
 
 
+@attrs.define
+class PlatformDeclined(PlatformUnavailable):
+    """The platform declined a call, which had no effect."""
+
+    status: int
+    """HTTP status of the response."""
+
+    @property
+    def message(self) -> str:
+        """One-sentence description of the failure."""
+        return f'platform at {self.endpoint} declined with {self.status}'
+
+
 @attrs.define
 class PlatformAnswerLost(PlatformError):
     """A call was sent but got no response; it may have taken effect."""
--- a/src/dogwoodmast/platform/store.py
+++ b/src/dogwoodmast/platform/store.py
@@ -15,6 +15,7 @@
     HistoryLost,
     PlatformAnswerLost,
     PlatformAnswerUnreadable,
+    PlatformDeclined,
     PlatformRefused,
 )
 from dogwoodmast.key_value import (
@@ -40,6 +41,9 @@
 _OK = frozenset((HTTPStatus.OK,))
 _OK_OR_MISSING = frozenset((HTTPStatus.OK, HTTPStatus.NOT_FOUND))
 _OK_OR_CONFLICT = frozenset((HTTPStatus.OK, HTTPStatus.PRECONDITION_FAILED))
+_NOT_EXECUTED = frozenset(
+    (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
+)
 _OK_OR_GONE = frozenset((HTTPStatus.OK, HTTPStatus.GONE))
 
 _Parsed = TypeVar('_Parsed')
@@ -240,6 +244,8 @@
         timeout: float = CALL_TIMEOUT,
     ) -> _Answer:
         status, content = await self._http.call(method, path, body, timeout)
+        if status in _NOT_EXECUTED:
+            raise PlatformDeclined(str(self._http.address), status)
         if status not in accepted:
             raise PlatformRefused(str(self._http.address), status)
         return _Answer(str(self._http.address), status, content)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -9,7 +9,9 @@
 import pytest
 
 from dogwoodmast._wire import decode
-from dogwoodmast.clock import ManualClock
+from dogwoodmast.address import Address
+from dogwoodmast.clock import ManualClock, SystemClock
+from dogwoodmast.direct.json_client import JsonClient
 from dogwoodmast.direct.leadership import LEASE_TTL, Leadership
 from dogwoodmast.direct.messages import VmRecord
 from dogwoodmast.errors import PlatformAnswerLost, PlatformUnavailable
@@ -22,6 +24,7 @@
     StoredValue,
     SwapResult,
 )
+from dogwoodmast.platform.store import MetadataStore
 
 pytestmark = pytest.mark.anyio
 RECORD = VmRecord('v1', 'a', '10.0.0.1:7000', 'i1')
@@ -309,6 +312,27 @@
     assert leadership.may_act
 
 
+@pytest.mark.parametrize('status', [429, 503])
+async def test_resignation_that_the_store_declines_ends_no_right(
+    monkeypatch: pytest.MonkeyPatch, status: int
+) -> None:
+    """Keys are renewed while the store takes renewals but no writes."""
+
+    async def call(_client: JsonClient, method: str, *_: object) -> object:
+        if method == 'DELETE':
+            return status, b'{}'
+        return 200, b'{"lease": 7, "revision": 9}'
+
+    monkeypatch.setattr(JsonClient, 'call', call)
+    store = MetadataStore(Address('127.0.0.1', 1), SystemClock())
+    clock = ManualClock()
+    leadership = Leadership(RECORD, store, clock)
+    await leadership.campaign()
+    clock.advance(0.5)
+    await leadership.resign()
+    assert leadership.may_act
+
+
 async def test_revoked_lease_is_found_out_by_a_confirmation() -> None:
     """A coordinator learns that the store has revoked its lease.
 
