Let one resignation wait for another

Cause: a VM that stops resigns from a task of its own, also while the loop of its term resigns since the VM reaches no targets. The second one noted the mark of the first (no calls) as the state to go back to. If neither could be sent, the VM kept the role, renewed its lease and made no call until it ended.

Change: resignations run one after another; one that follows a success does nothing.

Evidence: test_two_resignations_that_were_not_sent_end_no_right failed before (the VM could not act).

Ruled out: to skip the second one, since it may be the one that is sent.

--- a/src/dogwoodmast/direct/leadership.py
+++ b/src/dogwoodmast/direct/leadership.py
@@ -72,6 +72,7 @@
         self._confirmed_at = float('-inf')
         self._confirmed_again_from = float('-inf')
         self._confirming = anyio.Lock()
+        self._resigning = anyio.Lock()
         self._confirmation_due_at = float('-inf')
 
     @property
@@ -201,9 +202,11 @@
         one stops to act first.  If the store cannot be reached, it goes on; if
         the answer is lost, it goes on once a renewal has succeeded.
         """
-        term = self._term
-        if term is None:
-            return
+        async with self._resigning:
+            if self._term is not None:
+                await self._revoke(self._term)
+
+    async def _revoke(self, term: CoordinatorTerm) -> None:
         confirmed_again_from = self._confirmed_again_from
         self._confirmed_again_from = float('inf')
         try:
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -46,6 +46,8 @@
     """Whether the answer to a revocation is lost before it takes effect."""
     during_revocation: Callable[[], None] | None = None
     """Called while a revocation is under way."""
+    revocation_time: float = 0
+    """Time that a revocation takes, in seconds."""
     loses_answers: bool = False
     """Whether the answer to a write is lost after it took effect."""
     revoked_leases: list[int] = attrs.field(factory=list)
@@ -135,6 +137,7 @@
         :raises PlatformUnavailable: If ``is_down`` is set.
         :raises PlatformAnswerLost: If ``loses_revocations`` is set.
         """
+        await anyio.sleep(self.revocation_time)
         if self.is_down:
             raise PlatformUnavailable('store')
         if self.loses_revocations:
@@ -312,6 +315,18 @@
     assert leadership.may_act
 
 
+async def test_two_resignations_that_were_not_sent_end_no_right() -> None:
+    """A VM that stops while it resigns anyway goes on to renew keys."""
+    store = CoordinatorKeyStore()
+    leadership, _ = await win_role(store)
+    store.revocation_time = 0.01
+    store.is_down = True
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(leadership.resign)
+        tasks.start_soon(leadership.resign)
+    assert leadership.may_act
+
+
 @pytest.mark.parametrize('status', [429, 503])
 async def test_resignation_that_the_store_declines_ends_no_right(
     monkeypatch: pytest.MonkeyPatch, status: int
