Take no term in a planned stop, and give up one that begins then

Callers saw nothing that is known of; found by reading what is taken that cannot be ended.

Cause: only the pause before a campaign was bounded by the stop. A VM that was told to stop in that pause, or while its campaign was under way, had nothing to resign yet; it took the role, acted until its process ended and left a record that no other VM can replace until the lease expires, 3 s later. A resignation that failed in a stop was not repeated either.

Change: a VM that leaves begins no campaign, and its term is given up like that of a VM that does not reach targets, with the same retries.

Evidence: test_vm_that_stops_does_not_take_the_role and test_vm_that_stops_gives_up_a_term_that_begins_then (2 cases) failed before (the role was held when the bound was reached).

Ruled out: to cancel the campaign, since the store may write the record late.

--- a/src/dogwoodmast/direct/coordinator.py
+++ b/src/dogwoodmast/direct/coordinator.py
@@ -121,7 +121,10 @@
                 vacant_since = None
 
     async def leave(self) -> None:
-        """Stop campaigning, and resign if this VM is the coordinator."""
+        """Stop campaigning, and resign if this VM is the coordinator.
+
+        A term that begins with a campaign under way is given up at once.
+        """
         self._leaving = True
         await self._leadership.resign()
 
@@ -173,6 +176,8 @@
     async def _try_acquire(
         self, acquire: Callable[[], Awaitable[CoordinatorTerm | None]]
     ) -> None:
+        if self._leaving:
+            return
         try:
             term = await acquire()
         except PlatformError as error:
@@ -204,17 +209,19 @@
                 await anyio.sleep(TICK_INTERVAL)
 
     def _should_resign(self, *, was_impaired: bool) -> bool:
-        """Tell whether another VM should coordinate, which reaches targets.
+        """Tell whether another VM should coordinate.
 
-        A VM that took the role although others may reach more targets keeps
-        it, so that the role does not go round.
+        Others may stay, or reach targets.  A VM that took the role although
+        others may reach more targets keeps it, so that the role does not go
+        round.
         """
         reach = self._dependencies.reach
         is_out_of_fences = any(
             one.is_out_of_fences for one in self._shard_coordinators.values()
         )
         return (
-            is_out_of_fences
+            self._leaving
+            or is_out_of_fences
             or self._is_cut_off()
             or (reach.is_impaired and not was_impaired)
         )
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, cast
 
@@ -92,9 +93,41 @@
         return self.term is not None
 
 
-async def test_role_that_cannot_be_given_up_is_performed_meanwhile() -> None:
-    """Keys are renewed while the store refuses to revoke the lease."""
-    role = LastingRole()
+@attrs.define(eq=False)
+class RoleOfStoppingVm(LastingRole):
+    """Role of a VM that is told to stop at some time of its campaign."""
+
+    leave: Callable[[], Awaitable[None]] | None = None
+    """Called while a campaign is under way."""
+    campaigns: int = 0
+    """Number of campaigns."""
+    failures: int = 0
+    """Number of resignations that fail."""
+
+    async def campaign(self) -> CoordinatorTerm:
+        """Begin the term, and let the VM stop before."""
+        self.campaigns += 1
+        if self.leave is not None:
+            await self.leave()
+        return await super().campaign()
+
+    async def resign(self) -> None:
+        """Give up the role, unless the store fails."""
+        await super().resign()
+        if self.resignations > self.failures:
+            self.term = None
+
+    def is_cut_off(self, _service: str) -> bool:
+        """Tell that the VM reaches its targets."""
+        return False
+
+
+def make_coordinator(role: LastingRole) -> Coordinator:
+    """Make the coordinator of a VM.
+
+    :param role: Role, and all that the VM sees.
+    :return: Coordinator that does not run yet.
+    """
     dependencies = CoordinatorDependencies(
         VmRecord('v1', 'a', '10.0.0.1:7000', 'i1'),
         cast('Directory', role),
@@ -104,10 +137,43 @@
         longest_hold=10,
         reach=cast('ReachTracker', role),
     )
-    coordinator = Coordinator(dependencies, cast('Leadership', role))
+    return Coordinator(dependencies, cast('Leadership', role))
+
+
+async def test_role_that_cannot_be_given_up_is_performed_meanwhile() -> None:
+    """Keys are renewed while the store refuses to revoke the lease."""
+    role = LastingRole()
+    coordinator = make_coordinator(role)
     seconds = 2 * RESIGNATION_RETRY_INTERVAL
     with anyio.move_on_after(2 * VACANCY_CHECK_INTERVAL + seconds):
         await coordinator.run()
     assert role.updates >= seconds / TICK_INTERVAL / 2
     most = 2 + (VACANCY_CHECK_INTERVAL + seconds) / RESIGNATION_RETRY_INTERVAL
     assert 0 < role.resignations <= most
+
+
+async def test_vm_that_stops_does_not_take_the_role() -> None:
+    """Guards against a role that is held until the process ends."""
+    role = RoleOfStoppingVm()
+    coordinator = make_coordinator(role)
+    with anyio.fail_after(3 * VACANCY_CHECK_INTERVAL):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(coordinator.run)
+            await anyio.sleep(VACANCY_CHECK_INTERVAL / 2)
+            await coordinator.leave()
+    assert not role.campaigns
+
+
+@pytest.mark.parametrize('failures', [1, 2])
+async def test_vm_that_stops_gives_up_a_term_that_begins_then(
+    failures: int,
+) -> None:
+    """The first resignation comes too early; others may fail."""
+    role = RoleOfStoppingVm(failures=failures)
+    coordinator = make_coordinator(role)
+    role.leave = coordinator.leave
+    seconds = failures * RESIGNATION_RETRY_INTERVAL
+    with anyio.fail_after(2 * VACANCY_CHECK_INTERVAL + seconds):
+        await coordinator.run()
+    assert role.term is None
+    assert role.campaigns == 1
