End the registration of a VM that stops, for good

What callers saw: after every planned stop of an entry VM, the others went on to count it for up to 12 s after its end. As the keeper of room it is asked in vain, and its stand-in grants half of the room; a target with a rate limit gets a fifth of it; retry budgets and shares of targets are divided by a VM too many.

Cause: the task that renews the registration ran on after the VM had removed its record, found no lease and registered again. A registration under way when the signal came wasn't known to the removal either, and a removal that the store didn't answer was not repeated.

Evidence, in simulated time with the real module, stops at 8 points of the renewal, the store up, or back after 0.5 or 2 s: before, the VM was registered when its process ended in 24 of 24 cases, and stayed so for another 8.4 to 11.4 s; a write made late by the store stood as well. Now the record is gone within 0.01 s with the store up, and within 0.8 s of its return otherwise, in all of them.

Why it works: the task ends with the stop; the lease is noted before the record is written, so that ending it removes what was written and makes a later write fail; the removal is repeated until the store has answered or the process ends. A lease whose record was not certainly written is used for the next try, instead of another lease.

The longest pause after failures is 1 s instead of 2: VMs have to be back within the 2 s for which removals after an outage don't count.

Ruled out: deleting the key instead of ending the lease, since a write that the store makes late would bring it back.

--- a/src/dogwoodmast/direct/vm_registration.py
+++ b/src/dogwoodmast/direct/vm_registration.py
@@ -15,7 +15,7 @@
 from dogwoodmast.errors import PlatformError
 from dogwoodmast.events import Event, log_event
 from dogwoodmast.frames import PROTOCOL_VERSION, Hello
-from dogwoodmast.key_value import Put
+from dogwoodmast.key_value import NO_LEASE, Put
 
 if TYPE_CHECKING:
     from dogwoodmast.direct.settings import DirectSettings
@@ -28,7 +28,7 @@
 """Pause between renewals, in seconds; a third of the time to live."""
 INITIAL_BACKOFF = 0.25
 """Upper bound of the first pause after a failure, in seconds."""
-MAX_BACKOFF = 2.0
+MAX_BACKOFF = 1.0
 """Upper bound of all pauses after failures, in seconds."""
 INCARNATION_BYTES = 8
 """Random bytes of an incarnation ID, which identifies one run of the process;
@@ -86,36 +86,51 @@
         """
         self._record = record
         self._store = store
-        self._lease = 0
-        self._backoff = Backoff(INITIAL_BACKOFF, MAX_BACKOFF)
+        self._lease = NO_LEASE
+        self._is_written = False
+        self._is_leaving = False
 
     async def run(self) -> None:
-        """Register, and renew the registration, until cancelled."""
-        while True:
+        """Register, and renew the registration, until the VM leaves."""
+        backoff = Backoff(INITIAL_BACKOFF, MAX_BACKOFF)
+        while not self._is_leaving:
             try:
                 await self._renew_or_register()
             except PlatformError as error:
                 log_event(Event.LISTING_FAILED, reason=error.message)
-                await anyio.sleep(self._backoff.next_delay())
+                await anyio.sleep(backoff.next_delay())
                 continue
-            self._backoff.reset()
+            backoff.reset()
             await anyio.sleep(RENEWAL_INTERVAL)
 
     async def leave(self) -> None:
-        """Remove the record from the store, if it was registered."""
-        lease = self._lease
-        self._lease = 0
-        if not lease:
-            return
-        try:
-            await self._store.revoke_lease(lease)
-        except PlatformError as error:
-            log_event(Event.LISTING_FAILED, reason=error.message)
+        """Remove the record from the store for good.
+
+        A write of the record that is under way, or that the store makes late,
+        is bound to the same lease and fails once that has ended.
+        """
+        self._is_leaving = True
+        backoff = Backoff(INITIAL_BACKOFF, MAX_BACKOFF)
+        while self._lease != NO_LEASE:
+            try:
+                await self._store.revoke_lease(self._lease)
+            except PlatformError as error:
+                log_event(Event.LISTING_FAILED, reason=error.message)
+                await anyio.sleep(backoff.next_delay())
+            else:
+                self._lease = NO_LEASE
 
     async def _renew_or_register(self) -> None:
-        if self._lease and await self._store.renew_lease(self._lease):
+        lease = self._lease
+        if lease == NO_LEASE or not await self._store.renew_lease(lease):
+            self._is_written = False
+            lease = await self._store.grant_lease(LISTING_TTL)
+            if self._is_leaving:
+                # No record is bound to the new lease, so that it may expire.
+                return
+            self._lease = lease
+        if self._is_written or self._is_leaving:
             return
-        lease = await self._store.grant_lease(LISTING_TTL)
         key = f'{VM_PREFIX}{self._record.name}'
         await self._store.swap((), (Put(key, encode(self._record), lease),))
-        self._lease = lease
+        self._is_written = True
--- /dev/null
+++ b/tests/test_vm_registration.py
@@ -0,0 +1,194 @@
+"""Registration of an entry VM that stops, on simulated time."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING, cast
+
+import anyio
+import attrs
+import pytest
+
+from dogwoodmast._wire import encode
+from dogwoodmast.direct.directory import VM_PREFIX
+from dogwoodmast.direct.messages import VmRecord
+from dogwoodmast.direct.vm_registration import VmRegistration
+from dogwoodmast.errors import (
+    PlatformAnswerLost,
+    PlatformRefused,
+    PlatformUnavailable,
+)
+from dogwoodmast.key_value import Delete, Expectation, Put, SwapResult
+from simulated_time import run_simulated
+
+if TYPE_CHECKING:
+    from dogwoodmast.key_value import PolledStore
+
+RECORD = VmRecord('vm0', 'a', '127.0.0.1:1', 'i0')
+"""Record of the VM."""
+KEY = f'{VM_PREFIX}{RECORD.name}'
+"""Key of its registration."""
+LATENCY = 0.004
+"""Time that a call to the store takes in each direction, in seconds."""
+STOP_TIME = 5.6
+"""Time from the stop signal to the end of the process, in seconds."""
+CONFIG_APPLY_TIME = 2.0
+"""Time within which VMs follow a change of the store, in seconds."""
+
+
+@attrs.define(eq=False)
+class LeaseStore:
+    """Store that knows registrations and the leases that they are bound to."""
+
+    registered: dict[str, tuple[bytes, int]] = attrs.field(factory=dict)
+    """Content and lease by key."""
+    leases: dict[int, float] = attrs.field(factory=dict)
+    """Time at which each lease expires, in seconds."""
+    is_down: bool = False
+    """Whether calls fail."""
+    swap_delay: float = 0
+    """Time after which writes are made whose answer is lost, in seconds."""
+    _numbers: itertools.count[int] = attrs.field(
+        factory=lambda: itertools.count(1)
+    )
+
+    def has(self, key: str) -> bool:
+        """Tell whether a key is there, as its lease has not ended."""
+        _, lease = self.registered.get(key, (b'', 0))
+        return anyio.current_time() < self.leases.get(lease, 0)
+
+    async def grant_lease(self, ttl: int) -> int:
+        """Create a lease."""
+        await self._reach()
+        lease = next(self._numbers)
+        self.leases[lease] = anyio.current_time() + ttl
+        await anyio.sleep(LATENCY)
+        return lease
+
+    async def renew_lease(self, lease: int) -> bool:
+        """Renew a lease."""
+        await self._reach()
+        stands = anyio.current_time() < self.leases.get(lease, 0)
+        if stands:
+            self.leases[lease] = anyio.current_time() + 12
+        await anyio.sleep(LATENCY)
+        return stands
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease."""
+        await self._reach()
+        self.leases.pop(lease, None)
+        await anyio.sleep(LATENCY)
+
+    async def swap(
+        self,
+        _expectations: tuple[Expectation, ...],
+        writes: tuple[Put | Delete, ...],
+    ) -> SwapResult:
+        """Write a registration, or write it late without an answer."""
+        await self._reach()
+        write = writes[0]
+        assert isinstance(write, Put)
+        if self.swap_delay:
+            with anyio.CancelScope(shield=True):
+                await anyio.sleep(self.swap_delay)
+                self._put(write)
+            raise PlatformAnswerLost('store')
+        if not self._put(write):
+            raise PlatformRefused('store', 404)
+        await anyio.sleep(LATENCY)
+        return SwapResult(succeeded=True, revision=1)
+
+    def _put(self, write: Put) -> bool:
+        if write.lease in self.leases:
+            self.registered[write.key] = (write.value, write.lease)
+        return write.lease in self.leases
+
+    async def _reach(self) -> None:
+        await anyio.sleep(LATENCY)
+        if self.is_down:
+            raise PlatformUnavailable('store')
+
+
+async def watch_registration(store: LeaseStore) -> list[float]:
+    """Watch a VM from its stop signal to the end of its process.
+
+    :param store: The store.
+    :return: Times after the signal at which it was registered, in seconds.
+    """
+    seen = []
+    for step in range(int(STOP_TIME * 100)):
+        if store.has(KEY):
+            seen.append(step / 100)
+        await anyio.sleep(0.01)
+    return seen
+
+
+def stop_after(seconds: float, store: LeaseStore, outage: float) -> list[float]:
+    """Let a VM register, and stop it.
+
+    :param seconds: Time from its start to the stop signal, in seconds.
+    :param store: The store.
+    :param outage: Time from the signal until the store answers, in seconds.
+    :return: Times after the signal at which it was registered, in seconds.
+    """
+
+    async def run() -> list[float]:
+        registration = VmRegistration(RECORD, cast('PolledStore', store))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(registration.run)
+            await anyio.sleep(seconds)
+            store.is_down = outage > 0
+            tasks.start_soon(end_outage, store, outage)
+            tasks.start_soon(registration.leave)
+            seen = await watch_registration(store)
+            tasks.cancel_scope.cancel()
+        return seen
+
+    return run_simulated(run)
+
+
+async def end_outage(store: LeaseStore, after: float) -> None:
+    """Let the store answer again.
+
+    :param store: The store.
+    :param after: Time until then, in seconds.
+    """
+    await anyio.sleep(after)
+    store.is_down = False
+
+
+@pytest.mark.parametrize('seconds', [0.006, 0.011, 0.014, 1, 3, 4.02, 7.9, 100])
+@pytest.mark.parametrize('outage', [0, 0.5, 2])
+def test_vm_that_stops_is_registered_no_longer(
+    seconds: float, outage: float
+) -> None:
+    """Others would count it, and ask it for room and permits, after its end."""
+    seen = stop_after(seconds, LeaseStore(), outage)
+    assert max(seen, default=0) <= outage + CONFIG_APPLY_TIME
+
+
+def test_registration_that_is_written_late_does_not_stand() -> None:
+    """The store may make a write seconds after the VM has left."""
+    seen = stop_after(0.1, LeaseStore(swap_delay=2.5), 0)
+    assert not seen
+
+
+def test_running_vm_is_registered_once_the_store_makes_its_write() -> None:
+    """A lease that was granted does not tell that the record was written."""
+
+    async def run() -> bool:
+        store = LeaseStore()
+        registration = VmRegistration(RECORD, cast('PolledStore', store))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(registration.run)
+            await anyio.sleep(0.011)
+            store.is_down = True
+            await anyio.sleep(1)
+            store.is_down = False
+            await anyio.sleep(CONFIG_APPLY_TIME)
+            is_listed = store.has(KEY)
+            tasks.cancel_scope.cancel()
+        return is_listed and store.registered[KEY][0] == encode(RECORD)
+
+    assert run_simulated(run)
