Answer requests that were read behind one whose response closes

Cause: uvicorn closes with the response that has the header, and marks only the newest request that it knows of at its shutdown; neither looks at the queue of the connection.

The connection decides now when the head of a response is written. It keeps `connection: close` only on the response of the last request that was read whole, after reading what waits in the socket; bytes that come after that decision are not parsed any more. A malformed request is refused after the answers before it. An idle connection reads what has arrived before it is closed by its timeout or the shutdown. What is only partly read may still be closed, and a caller's own `Connection: close` ends what follows, as HTTP says. A failure of the application closes like other responses.

Ruled out: asking the application, which does not know its connection; a flag of the server alone, since requests that come after it were dropped too.

--- a/src/dogwoodmast/http_server.py
+++ b/src/dogwoodmast/http_server.py
@@ -4,14 +4,13 @@
 
 import logging
 from contextlib import contextmanager
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import anyio
 from uvicorn.config import Config
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import Server
 
-from dogwoodmast.joined_writes import JoinedWrites
+from dogwoodmast.caller_connection import CallerConnection
 
 if TYPE_CHECKING:
     import socket
@@ -81,18 +80,6 @@
         yield
 
 
-class CallerConnection(HttpToolsProtocol):
-    """Connection of a caller, which sends head and body of a response in one
-    write."""
-
-    def connection_made(self, transport: Any) -> None:
-        """Start to serve a connection.
-
-        :param transport: Transport of the connection.
-        """
-        super().connection_made(JoinedWrites(transport))  # type: ignore[arg-type]
-
-
 def isolate_uvicorn_logger() -> None:
     """Keep log lines of uvicorn out of the structured log."""
     logging.getLogger('uvicorn').addHandler(logging.NullHandler())
