Make a call again on the connection on which it was withheld

Cause: a release or a fencing grant takes a new connection. If the store does not confirm the term, the call is withheld and made again 0.2 s later, on yet another connection, while the first stays open for 4 s. While the store is silent, each shard that moves opens up to five connections a second, until the term ends after 2.8 s; a target resets connections beyond its limit, those of callers too.

Change: such a call takes an idle connection that has carried no call, if there is one. The answer is as certain there, and the term is confirmed anew, later than the connection was opened.

Evidence: test_withheld_release_uses_up_the_connections_of_a_target failed before (4 connections for 4 tries).

Ruled out: to close the connection of a withheld call, which opens as many.

--- a/src/dogwoodmast/direct/connection_pool.py
+++ b/src/dogwoodmast/direct/connection_pool.py
@@ -71,6 +71,17 @@
         self._idle.extend(reversed(kept))
         return found
 
+    async def acquire_new(self) -> TargetConnection:
+        """Return a connection that has carried no request.
+
+        :return: Connection for exclusive use, until :meth:`release`.
+        :raises ConnectFailed: If a new connection cannot be opened.
+        """
+        used = [
+            one.connection for one in self._idle if not one.connection.is_new
+        ]
+        return await self.acquire(used)
+
     async def connect(self) -> TargetConnection:
         """Open a new connection.
 
--- a/src/dogwoodmast/direct/target_control.py
+++ b/src/dogwoodmast/direct/target_control.py
@@ -3,7 +3,8 @@
 Nothing in an answer tells which call it belongs to, and a faulty target may
 answer a call once more when the next one on the connection is read.  Only the
 answer to the first call on a connection is certain.  Calls on whose answer the
-keys of a holder become free are therefore made on a new connection.
+keys of a holder become free are therefore made on a new connection, which may
+be one that was opened for a call that was withheld.
 
 A new connection may reach a process that has started since another VM became
 the coordinator, and that does not know the higher fencing tokens of that VM.
@@ -148,7 +149,7 @@
         permission: _Permission,
     ) -> ControlResult:
         if isinstance(request, ReleaseCall) or request.is_fencing:
-            connection = await self._pool.connect()
+            connection = await self._pool.acquire_new()
             return await self._send(
                 connection, http_request, timeout, permission
             )
--- a/tests/test_target_control.py
+++ b/tests/test_target_control.py
@@ -244,6 +244,35 @@
     anyio.run(run)
 
 
+def test_withheld_release_uses_up_the_connections_of_a_target() -> None:
+    """The next try is made on the connection that has carried no call."""
+
+    async def run() -> None:
+        confirmations = [True, False, False, False]
+
+        async def confirm(_since: float) -> bool:
+            return confirmations.pop()
+
+        target = RepeatingTarget([])
+        opened: list[bool] = []
+        async with controlled(target) as address:
+            listed = Target('t1', 'solde', address, 'a', 4, False, 1)
+            control = TargetControl(
+                listed, SystemClock(), StatementBook(), opened.append
+            )
+            call = make_call(ReleaseCall, listed)
+            results = [
+                await control.call(call, lambda: True, confirm)
+                for _ in range(4)
+            ]
+            await control.aclose()
+        assert len(opened) == 1
+        assert results[-1].answer is GrantAnswer.ACCEPTED
+        assert results[-1].is_proven
+
+    anyio.run(run)
+
+
 def test_term_is_confirmed_later_than_the_connection_was_opened() -> None:
     """A confirmation from before may be older than the process."""
 
