End only the term that a resignation was for

Cause: a VM that is told to stop after its term has expired, while it takes the next one, revokes the lease of the expired one. Its answer ended whichever term there was: the VM forgot the new one, and with it the lease to revoke, so that the record blocked other VMs until that lease expired.

Evidence: test_resignation_from_an_expired_term_ends_the_next_one failed before (no term was left).

--- a/src/dogwoodmast/direct/leadership.py
+++ b/src/dogwoodmast/direct/leadership.py
@@ -218,7 +218,8 @@
             log_event(Event.RENEWAL_FAILED, reason=error.message)
             self._confirmed_again_from = self._clock.monotonic()
         else:
-            self._end_term()
+            if self._term is term:
+                self._end_term()
 
     def _is_own_content(self, content: bytes) -> bool:
         """Tell whether a stored record is the local VM's; not if unreadable."""
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -315,6 +315,21 @@
     assert leadership.may_act
 
 
+async def test_resignation_from_an_expired_term_ends_the_next_one() -> None:
+    """Guards against a record that blocks others, and that nobody revokes."""
+    store = CoordinatorKeyStore()
+    leadership, clock = await win_role(store)
+    clock.advance(LEASE_TTL)
+    store.holder = None
+    store.revocation_time = 0.01
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(leadership.resign)
+        await anyio.sleep(store.revocation_time / 2)
+        term = await leadership.campaign()
+    assert term is not None
+    assert leadership.term is term
+
+
 async def test_two_resignations_that_were_not_sent_end_no_right() -> None:
     """A VM that stops while it resigns anyway goes on to renew keys."""
     store = CoordinatorKeyStore()
