Close a term's connections after its calls have ended

Callers saw nothing that is known of; found by reading what is taken that cannot be ended.

Cause: at the end of a term the connections to targets were closed before its calls were cancelled. A call that waited for the confirmation of its term then returned an open connection to a pool that nobody closes any more; it counts against the connections of its target until that one closes it.

Change: the calls end first.

Evidence: test_connection_of_a_call_outlives_the_term failed before (the last thing that ended was the call).

--- a/src/dogwoodmast/direct/coordinator.py
+++ b/src/dogwoodmast/direct/coordinator.py
@@ -188,7 +188,8 @@
 
     async def _serve_term(self, term: CoordinatorTerm) -> None:
         async with AsyncExitStack() as stack:
-            stack.callback(self._shard_coordinators.clear)
+            # After the end of the term's calls, which return connections.
+            stack.push_async_callback(self._close_shard_coordinators)
             stack.callback(self._distributors.clear)
             tasks = await stack.enter_async_context(anyio.create_task_group())
             stack.callback(tasks.cancel_scope.cancel)
@@ -203,11 +204,16 @@
                     resign_after = now + RESIGNATION_RETRY_INTERVAL
                     await self._leadership.resign()
                     continue
-                await self._update_services(term, stack, tasks)
+                await self._update_services(term, tasks)
                 for one in self._shard_coordinators.values():
                     one.tick(tasks)
                 await anyio.sleep(TICK_INTERVAL)
 
+    async def _close_shard_coordinators(self) -> None:
+        for one in self._shard_coordinators.values():
+            await one.aclose()
+        self._shard_coordinators.clear()
+
     def _should_resign(self, *, was_impaired: bool) -> bool:
         """Tell whether another VM should coordinate.
 
@@ -232,7 +238,7 @@
         return any(map(reach.is_cut_off, self._sharded_services()))
 
     async def _update_services(
-        self, term: CoordinatorTerm, stack: AsyncExitStack, tasks: TaskGroup
+        self, term: CoordinatorTerm, tasks: TaskGroup
     ) -> None:
         now = self._dependencies.clock.monotonic()
         listed = self._dependencies.directory.targets(now).values()
@@ -243,7 +249,6 @@
                 if not await _load_shards(shard_coordinator):
                     continue
                 self._shard_coordinators[service] = shard_coordinator
-                stack.push_async_callback(shard_coordinator.aclose)
                 distributor = self._make_distributor(shard_coordinator)
                 self._distributors[service] = distributor
                 tasks.start_soon(distributor.run)
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -20,6 +20,7 @@
 )
 from dogwoodmast.direct.leadership import CoordinatorTerm, Leadership
 from dogwoodmast.direct.messages import VmRecord
+from dogwoodmast.direct.shard_coordinator import ShardCoordinator
 from dogwoodmast.key_value import Snapshot
 
 if TYPE_CHECKING:
@@ -177,3 +178,33 @@
         await coordinator.run()
     assert role.term is None
     assert role.campaigns == 1
+
+
+async def test_connection_of_a_call_outlives_the_term(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Connections are closed after the calls that return them have ended."""
+    ended: list[str] = []
+
+    async def call() -> None:
+        try:
+            await anyio.sleep_forever()
+        finally:
+            ended.append('call')
+
+    async def aclose(_shards: ShardCoordinator) -> None:
+        ended.append('connections')
+
+    monkeypatch.setattr(
+        ShardCoordinator, 'tick', lambda _shards, tasks: tasks.start_soon(call)
+    )
+    monkeypatch.setattr(ShardCoordinator, 'aclose', aclose)
+    role = RoleOfStoppingVm()
+    coordinator = make_coordinator(role)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(coordinator.run)
+        while not role.updates:
+            await anyio.sleep(TICK_INTERVAL)
+        await coordinator.leave()
+    assert ended[-1] == 'connections'
+    assert 'call' in ended
