Keep the term when one renewal is lost and the store is slow

Callers saw keys closed for a takeover (VMs wait up to the next term) although the store had answered all calls but one. A renewal that was lost took the client's limit of 1.5 s, and the pause of 0.8 s counted from the end of the renewal before: with answers after 0.4 s the retry began 2.9 s after the start of the last renewal, and the term ends after 2.8 s.

Renewals are now paced by the start of the last one that succeeded, also if that was a confirmation of the term. The first renewal after it has a limit of 0.6 s, and the idle connections are closed when it passes, since they may be silent too. Retries have the limit of the client again, so that a store that is slower than it may be keeps its coordinator.

The test runs on simulated time, with answers after 5 ms, 0.1 and 0.4 s and with 0, 1 and 3 silent connections. The interval is 0.85 s from start to start (before: 0.8 s from end to start), so that a store that answers within 50 ms is not called more often; the test bounds the calls of a minute by one in 0.8 s.

Ruled out by arithmetic, not by a run: a shorter limit alone. It loses the role at a store that takes 0.7 s for each answer (a retry ends after 3.0 s).

--- a/src/dogwoodmast/direct/leadership.py
+++ b/src/dogwoodmast/direct/leadership.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import anyio
@@ -33,9 +34,13 @@
 LEASE_MARGIN = 0.2
 """Time before the earliest possible expiry of its lease at which a
 coordinator stops acting, in seconds."""
-RENEWAL_INTERVAL = 0.8
-"""Pause between lease renewals, in seconds; three renewals fit into the lease,
-so that it survives failures of some."""
+RENEWAL_INTERVAL = 0.85
+"""Time from the start of one lease renewal to the next, in seconds; three
+renewals fit into the lease, so that it survives failures of some."""
+RENEWAL_TIMEOUT = 0.6
+"""Time limit for the store's answer to a renewal that follows one that
+succeeded, in seconds; a slow store takes up to 0.4 s.  A retry on another
+connection then fits into the term, with the limit of the store's client."""
 RENEWAL_RETRY_INTERVAL = 0.2
 """Pause before the retry of a failed lease renewal, in seconds."""
 
@@ -150,16 +155,25 @@
     async def renew_until_lost(self, term: CoordinatorTerm) -> None:
         """Renew the lease until it expires or the term ends otherwise.
 
+        A confirmation of the term counts as a renewal.
+
         :param term: Current term.
         """
+        timeout = RENEWAL_TIMEOUT
         while self.term is term:
+            confirmed_at = self._confirmed_at
+            renewed_for = self._clock.monotonic() - confirmed_at
+            await anyio.sleep(max(0, RENEWAL_INTERVAL - renewed_for))
+            if self.term is not term or self._confirmed_at > confirmed_at:
+                continue
             try:
-                await self._renew(term)
+                await self._renew(term, timeout)
             except PlatformError as error:
                 log_event(Event.RENEWAL_FAILED, reason=error.message)
+                timeout = math.inf
                 await anyio.sleep(RENEWAL_RETRY_INTERVAL)
-                continue
-            await anyio.sleep(RENEWAL_INTERVAL)
+            else:
+                timeout = RENEWAL_TIMEOUT
         self._end_term()
 
     async def confirm(self, since: float) -> bool:
@@ -176,7 +190,7 @@
             term = self.term
             if term is not None and self._confirmed_at < since:
                 try:
-                    await self._renew(term)
+                    await self._renew(term, RENEWAL_TIMEOUT)
                 except PlatformError as error:
                     log_event(Event.RENEWAL_FAILED, reason=error.message)
         return self.may_act and self._confirmed_at >= since
@@ -234,14 +248,16 @@
             return None
         return found.revision
 
-    async def _renew(self, term: CoordinatorTerm) -> None:
+    async def _renew(self, term: CoordinatorTerm, timeout: float) -> None:
         """Renew the lease; end the term if the lease has ended.
 
         :param term: Current term.
+        :param timeout: Time limit in seconds, beside that of the store's
+            client.
         :raises PlatformError: If the call to the store fails.
         """
         requested_at = self._clock.monotonic()
-        is_renewed = await self._store.renew_lease(term.lease)
+        is_renewed = await self._request_renewal(term.lease, timeout)
         if self._term is not term:
             return
         if is_renewed:
@@ -249,6 +265,16 @@
         else:
             self._end_term()
 
+    async def _request_renewal(self, lease: int, timeout: float) -> bool:
+        try:
+            with anyio.fail_after(timeout):
+                return await self._store.renew_lease(lease)
+        except TimeoutError:
+            # Whatever silenced this connection may have silenced the idle
+            # ones too.
+            await self._store.aclose()
+            raise PlatformAnswerLost('store') from None
+
     def _on_confirmed(self, requested_at: float) -> None:
         """Record that the lease was granted or renewed by the store."""
         self._confirmed_at = max(self._confirmed_at, requested_at)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -10,6 +10,7 @@
 
 from dogwoodmast._wire import decode
 from dogwoodmast.clock import ManualClock
+from dogwoodmast.direct.json_client import CALL_TIMEOUT
 from dogwoodmast.direct.leadership import LEASE_TTL, Leadership
 from dogwoodmast.direct.messages import VmRecord
 from dogwoodmast.errors import PlatformAnswerLost, PlatformUnavailable
@@ -22,6 +23,7 @@
     StoredValue,
     SwapResult,
 )
+from simulated_time import SimulatedClock, run_simulated
 
 pytestmark = pytest.mark.anyio
 RECORD = VmRecord('v1', 'a', '10.0.0.1:7000', 'i1')
@@ -51,6 +53,10 @@
     """Value that an earlier write puts right before the next write."""
     renewals: int = 0
     """Number of renewals that were asked for."""
+    answer_time: float = 0
+    """Time that the answer to a renewal takes, in seconds."""
+    silent_connections: int = 0
+    """Number of idle connections on which renewals are lost."""
 
     async def read(self, _key: str) -> Snapshot:
         """Read the coordinator's key, whichever key is asked for.
@@ -65,7 +71,8 @@
         return False
 
     async def aclose(self) -> None:
-        """Close idle connections, of which there are none."""
+        """Close the idle connections."""
+        self.silent_connections = 0
 
     async def read_prefix(self, _prefix: str) -> Snapshot:
         """Read the coordinator's key, whichever prefix is asked for.
@@ -119,10 +126,16 @@
 
         :return: Whether it was renewed.
         :raises PlatformUnavailable: If ``is_down`` is set.
+        :raises PlatformAnswerLost: If the connection is silent.
         """
         self.renewals += 1
         if self.is_down:
             raise PlatformUnavailable('store')
+        if self.silent_connections:
+            await anyio.sleep(CALL_TIMEOUT)
+            await self.aclose()
+            raise PlatformAnswerLost('store')
+        await anyio.sleep(self.answer_time)
         return not self.revoked_leases
 
     async def revoke_lease(self, lease: int) -> None:
@@ -360,3 +373,30 @@
     assert await leadership.confirm(clock.monotonic())
     clock.advance(LEASE_TTL / 2 + 0.5)
     assert leadership.term is not None
+
+
+@pytest.mark.parametrize('answer_time', [0.005, 0.1, 0.4])
+@pytest.mark.parametrize('silent_connections', [0, 1, 3])
+def test_term_outlasts_a_renewal_that_is_lost(
+    answer_time: float, silent_connections: int
+) -> None:
+    """Keys are not closed for a takeover when one answer of the store is lost.
+
+    A calm store is not called more often than every 0.8 s.
+    """
+    store = CoordinatorKeyStore(answer_time=answer_time)
+
+    async def run() -> None:
+        leadership = Leadership(RECORD, store, SimulatedClock())
+        term = await leadership.campaign()
+        assert term is not None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(leadership.renew_until_lost, term)
+            await anyio.sleep(60)
+            assert store.renewals <= 60 / max(0.8, answer_time)
+            store.silent_connections = silent_connections
+            await anyio.sleep(2 * LEASE_TTL)
+            assert leadership.term is term
+            tasks.cancel_scope.cancel()
+
+    run_simulated(run)
