Free keys after the hold, also if their release is withheld

Cause: a release and the grant before it are withheld while the store does not confirm the term within 1 s. Such a call changes nothing, and shards that are being released were freed by outcomes of calls only.

Change: these shards are freed like others when the hold of the last grant that was sent has passed. No call is in flight then, and each grant that was sent has extended that time.

Evidence: test_keys_whose_release_is_withheld_stay_closed_after_the_hold (2 cases) failed before (the shards were being released or fenced).

--- a/src/dogwoodmast/direct/grant_state_machine.py
+++ b/src/dogwoodmast/direct/grant_state_machine.py
@@ -365,6 +365,9 @@
         match shard.phase:
             case Phase.OWNED:
                 return self._advance_owned(shard, now)
+            case Phase.FENCING | Phase.RELEASING if now >= shard.held_until:
+                # The calls have been withheld for as long.
+                self._free(shard, FreedBecause.HOLD_EXPIRED)
             case Phase.FENCING if now >= shard.next_call_at:
                 return self._grant(shard)
             case Phase.RELEASING if now >= shard.next_call_at:
--- a/tests/test_grant_state_machine.py
+++ b/tests/test_grant_state_machine.py
@@ -636,6 +636,28 @@
     assert len(simulation.pending) == len(machine.shards)
 
 
+@pytest.mark.parametrize('is_fencing', [False, True])
+def test_keys_whose_release_is_withheld_stay_closed_after_the_hold(
+    is_fencing: bool,
+) -> None:
+    """The holder cannot have them any more, whatever the store answers."""
+    simulation = make_started_simulation()
+    simulation.start_target('t2')
+    machine = simulation.current_term.machine
+    for shard in machine.shards:
+        shard.destination = 't2'
+        if is_fencing:
+            shard.delayed_grant_until = shard.held_until
+    expiry = max(one.held_until for one in machine.shards)
+    simulation.is_store_silent = True
+    while simulation.now < expiry:
+        simulation.step(lambda usable: usable[0])
+        assert not simulation.pending
+        simulation.now += CONFIRMATION_RETRY_INTERVAL
+    machine.tick(simulation.now)
+    assert {one.phase for one in machine.shards} == {Phase.FREE}
+
+
 @pytest.mark.parametrize('is_moving', [False, True])
 def test_refused_grant_is_not_repeated_at_once(is_moving: bool) -> None:
     """A coordinator that was replaced does not call at each step."""
