Let the confirmation of a term wait for a slow store

Callers of targets that need a new connection would get no keys granted while the store takes over 0.6 s for an answer, though the term goes on; found in the review.

Cause: the shorter time limit of periodic renewals was used for confirmations too, for which nothing is to be tried again in time.

--- a/src/dogwoodmast/direct/leadership.py
+++ b/src/dogwoodmast/direct/leadership.py
@@ -200,7 +200,7 @@
         if term is None:
             return
         try:
-            await self._renew(term, RENEWAL_TIMEOUT)
+            await self._renew(term, math.inf)
         except PlatformError as error:
             log_event(Event.RENEWAL_FAILED, reason=error.message)
         finally:
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -457,3 +457,17 @@
             tasks.cancel_scope.cancel()
 
     run_simulated(run)
+
+
+def test_term_is_confirmed_by_a_store_that_is_slow() -> None:
+    """Grants on new connections go on while answers take 0.9 s."""
+
+    async def run() -> bool:
+        store = CoordinatorKeyStore(answer_time=0.9)
+        clock = SimulatedClock()
+        leadership = Leadership(RECORD, store, clock)
+        await leadership.campaign()
+        await anyio.sleep(0.1)
+        return await leadership.confirm(clock.monotonic())
+
+    assert run_simulated(run)
