Keep the keys of holders that a copy from before the term lacks

A coordinator whose copy of the store was older than its own term closed the keys of each holder that the copy did not list: callers waited or were rejected for up to a hold, about 10 s after a takeover, although the holder lived and had been listed since. A holder that the copy knew as removed was asked to release its keys.

The coordinator now tells the state machine whether its copy is as new as the epoch of its term. Until it is, a holder that is not listed keeps its keys open, and gets no calls; keys are freed when its hold has expired, as before. The copy is read from the store within its own bound, so that no further read is needed.

The new test failed in both cases without the rule: keys were closed, and calls were made to the holder.

--- a/src/dogwoodmast/direct/coordinator.py
+++ b/src/dogwoodmast/direct/coordinator.py
@@ -230,6 +230,7 @@
         now = self._dependencies.clock.monotonic()
         listed = self._dependencies.directory.targets(now).values()
         known = self._dependencies.directory.known_targets()
+        is_current = self._dependencies.directory.revision >= term.epoch
         for service in self._sharded_services():
             if service not in self._shard_coordinators:
                 shard_coordinator = self._make_shard_coordinator(service, term)
@@ -243,6 +244,7 @@
             self._shard_coordinators[service].on_targets(
                 targets_of_service(listed, service),
                 targets_of_service(known, service),
+                is_current=is_current,
             )
 
     def _make_shard_coordinator(
--- a/src/dogwoodmast/direct/grant_state_machine.py
+++ b/src/dogwoodmast/direct/grant_state_machine.py
@@ -17,6 +17,9 @@
   lower tokens.
 - A listing says that a holder has ended only if it shows a later start.  The
   process that it shows may hold the keys instead, and has to release them.
+
+A listing that is older than the term tells nothing of a holder that it lacks:
+the holder may have been listed since, and keeps its keys.
 """
 
 from __future__ import annotations
@@ -162,6 +165,7 @@
     _last_known: dict[tuple[str, int], Target] = attrs.field(factory=dict)
     _avoided_until: dict[str, float] = attrs.field(factory=dict)
     _changed: list[Shard] = attrs.field(factory=list)
+    _is_listing_current: bool = True
 
     @property
     def max_hold_time(self) -> float:
@@ -212,14 +216,20 @@
             self.shards.append(shard)
 
     def on_targets(
-        self, targets: Iterable[Target], gone: Iterable[Target] = ()
+        self,
+        targets: Iterable[Target],
+        gone: Iterable[Target] = (),
+        *,
+        is_current: bool = True,
     ) -> None:
         """Update the targets of the service.
 
         :param targets: Targets that are listed.
         :param gone: Targets that were listed at some time; they may still
             hold keys and answer calls.
+        :param is_current: Whether the listing is no older than the term.
         """
+        self._is_listing_current = is_current
         self._targets = {target.name: target for target in targets}
         for target in (*gone, *self._targets.values()):
             self._last_known[target.name, target.born] = target
@@ -394,7 +404,11 @@
         listed = self._targets.get(shard.target)
         if listed is not None and listed.born > shard.born:
             return self._advance_restarted(shard, listed, now)
-        is_outdated = listed is not None and listed.born < shard.born
+        is_outdated = (
+            not self._is_listing_current
+            if listed is None
+            else listed.born < shard.born
+        )
         is_holder_wanted = (
             listed is not None and not listed.leaving and not shard.destination
         )
@@ -405,7 +419,7 @@
         if was_granted and shard.held_until <= now:
             self._free(shard, FreedBecause.HOLD_EXPIRED)
             return None
-        # A listing of an earlier process does not tell where the holder is.
+        # A listing from before the holder does not tell where it is.
         if is_outdated or now < shard.next_call_at:
             return None
         return self._grant(shard)
--- a/src/dogwoodmast/direct/shard_coordinator.py
+++ b/src/dogwoodmast/direct/shard_coordinator.py
@@ -168,17 +168,26 @@
             self._state_machine.restore(record, now, EARLIER_TERM_GRANT_WINDOW)
         self._log_changes(self._state_machine.shards)
 
-    def on_targets(self, targets: list[Target], gone: list[Target]) -> None:
+    def on_targets(
+        self,
+        targets: list[Target],
+        gone: list[Target],
+        *,
+        is_current: bool = True,
+    ) -> None:
         """Update the targets of the service.
 
         :param targets: Targets that are listed.
         :param gone: Targets that were listed at some time.
+        :param is_current: Whether the listing is no older than the term.
         """
         known = set(self._state_machine.targets)
         if {target.name for target in targets} - known:
             self._last_joined_at = self._clock.monotonic()
         self._state_machine.on_targets(
-            [_with_statement(one, self._statements) for one in targets], gone
+            [_with_statement(one, self._statements) for one in targets],
+            gone,
+            is_current=is_current,
         )
 
     def on_report(self, report: LoadReport) -> None:
--- a/tests/grant_simulation.py
+++ b/tests/grant_simulation.py
@@ -307,7 +307,11 @@
                 continue
             machine = term.machine
             listing = term.old_listing or current
-            machine.on_targets(listing.targets.values(), listing.known)
+            machine.on_targets(
+                listing.targets.values(),
+                listing.known,
+                is_current=term.old_listing is None,
+            )
             if term is self.current_term:
                 self._assign_free_shards(machine, choose)
             for call in machine.tick(self.now):
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -40,6 +40,8 @@
     """Current term."""
     resignations: int = 0
     """Number of attempts to give up the role."""
+    revision: int = 5
+    """Revision of the copy of the store."""
     updates: int = 0
     """Number of times at which the listed targets were read."""
     is_impaired: bool = False
--- a/tests/test_grant_state_machine.py
+++ b/tests/test_grant_state_machine.py
@@ -32,7 +32,13 @@
     ReleaseCall,
 )
 from dogwoodmast.direct.shard import DISTANT_PAST, Phase, Shard
-from grant_simulation import HOLD, DelayedGrant, GrantSimulation, PendingCall
+from grant_simulation import (
+    HOLD,
+    DelayedGrant,
+    GrantSimulation,
+    Listing,
+    PendingCall,
+)
 
 NAMES = ('t1', 't2', 't3')
 """Names of the targets that a schedule may start."""
@@ -575,6 +581,29 @@
         restart_after_a_move(simulation)
 
 
+@pytest.mark.parametrize('was_listed', [False, True])
+def test_holder_that_a_copy_from_before_the_term_lacks_keeps_its_keys(
+    was_listed: bool,
+) -> None:
+    """An old copy of the store neither closes nor moves keys."""
+    simulation = make_started_simulation()
+    simulation.start_target('t2')
+    known = tuple(simulation.known) if was_listed else ()
+    listing = Listing({'t2': simulation.listed['t2']}, known)
+    simulation.start_term(listing)
+    for _ in range(2):
+        simulation.step(lambda usable: usable[0])
+    assert not simulation.pending
+    machine = simulation.current_term.machine
+    assert all(one.is_open for one in machine.shards)
+    simulation.catch_up()
+    simulation.step(lambda usable: usable[0])
+    assert len(simulation.pending) == len(machine.shards)
+    for one in simulation.pending:
+        assert isinstance(one.call, GrantCall)
+        assert one.call.target.name == 't1'
+
+
 def restart_after_a_move(simulation: GrantSimulation) -> None:
     """Restart a target that gave up its keys, while an earlier term acts.
 
