Count VMs on whose registrations lapsed in an outage of the store

What callers saw: after an outage in which the store let leases expire, every entry VM believed for a second or more to be the only one, or that there was none. Each spent the whole fixed part of the retry budget and sent each target what all VMs together may send; requests for targets with a rate limit were refused, as no VM gave permits.

Cause: targets whose listing lapses in an outage are kept for the 2 s in which they may return; registrations of VMs, which lapse the same way, were dropped at once.

Evidence: 12 VMs whose copies learn of the lapse spent 180 retries where 20 are allowed, and now keep to it; no VM gave a permit for a limited target, now the keeper and its stand-in give what a stand-in gives. VMs that do not come back count no longer once a read that began after the 2 s has confirmed it.

Why it works: the time for which a removal is in doubt was noted, and passed on between copies, for all keys already; the list of VMs heeds it now, by the time of the latest confirmation. Copies without the outage list fewer VMs meanwhile, so that a keeper of rates whose list is in doubt gives only the part of a stand-in, which the budget of rates allows beside another keeper.

Ruled out: another time for settling, which would make every change of a keeper slower.

--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -40,6 +40,7 @@
 from dogwoodmast.direct.target_set import TargetSet
 from dogwoodmast.direct.vm_registration import (
     VmRegistration,
+    is_list_certain,
     make_hello,
     make_vm_record,
     peer_addresses,
@@ -116,6 +117,7 @@
             self._timing,
             self._bounds,
         )
+        self._rates.check_list = lambda: is_list_certain(self._directory)
         self._targets = TargetSet(
             settings.vm.zone, self._clock, self._rates.statements
         )
--- a/src/dogwoodmast/direct/directory.py
+++ b/src/dogwoodmast/direct/directory.py
@@ -179,16 +179,19 @@
             if isinstance(entry.decoded, Target)
         ]
 
-    def vms(self) -> dict[str, VmRecord]:
+    def vms(self, *, is_certain: bool = False) -> dict[str, VmRecord]:
         """Return the entry VMs that are registered.
 
+        :param is_certain: Whether those are left out whose removal does not
+            count yet because of an outage.
         :return: Records of entry VMs by name.
         """
+        counted_at = float('inf') if is_certain else self._confirmed_at
         return {
             entry.decoded.name: entry.decoded
             for key, entry in self._entries.items()
             if key.startswith(VM_PREFIX)
-            and not entry.removed
+            and entry.is_present(counted_at)
             and isinstance(entry.decoded, VmRecord)
         }
 
--- a/src/dogwoodmast/direct/rate_limiting.py
+++ b/src/dogwoodmast/direct/rate_limiting.py
@@ -18,6 +18,8 @@
 from dogwoodmast.errors import LinkUnavailable
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from dogwoodmast.clock import Clock
     from dogwoodmast.direct.catalog import RouteTable
     from dogwoodmast.direct.directory import Directory
@@ -27,7 +29,11 @@
 
 
 class RateLimiting:
-    """Knowledge of limits, permits for the own VM and those for others."""
+    """Knowledge of limits, permits for the own VM and those for others.
+
+    Its attribute ``check_list`` tells whether all VMs list the same VMs once
+    they have the same copy of the store; by default they do.
+    """
 
     def __init__(
         self,
@@ -53,6 +59,7 @@
         self._links = links
         self._clock = clock
         self._timing = timing
+        self.check_list: Callable[[], bool] | None = None
         self.limits = NamedLimits()
         self.cold = ColdTargets()
         self.apply_bounds(bounds or Bounds())
@@ -61,7 +68,7 @@
             vm,
             self.limits,
             self._list_vms,
-            self._is_copy_current,
+            self._is_list_current,
             clock,
             self.cold,
         )
@@ -123,8 +130,10 @@
     def _list_vms(self) -> list[str]:
         return list(self._directory.vms())
 
-    def _is_copy_current(self) -> bool:
+    def _is_list_current(self) -> bool:
         age = self._directory.age(self._clock.monotonic())
+        if self.check_list is not None and not self.check_list():
+            return False
         return age <= self._timing.bound
 
     async def _ask_peer(self, vm: str, message: object) -> object:
--- a/src/dogwoodmast/direct/vm_registration.py
+++ b/src/dogwoodmast/direct/vm_registration.py
@@ -75,6 +75,15 @@
     ]
 
 
+def is_list_certain(directory: Directory) -> bool:
+    """Tell whether no VM is listed that other copies do not list any more.
+
+    :param directory: Local copy of the store.
+    :return: Whether no removal is in doubt because of an outage of the store.
+    """
+    return len(directory.vms()) == len(directory.vms(is_certain=True))
+
+
 class VmRegistration:
     """Task that keeps the local VM's record in the store, bound to a lease."""
 
--- a/tests/test_vm_registration.py
+++ b/tests/test_vm_registration.py
@@ -1,7 +1,8 @@
-"""Registration of an entry VM that stops, on simulated time."""
+"""Registrations of entry VMs that stop, or lapse in an outage of the store."""
 
 from __future__ import annotations
 
+import functools
 import itertools
 from typing import TYPE_CHECKING, cast
 
@@ -10,19 +11,35 @@
 import pytest
 
 from dogwoodmast._wire import encode
-from dogwoodmast.direct.directory import VM_PREFIX
-from dogwoodmast.direct.messages import VmRecord
-from dogwoodmast.direct.vm_registration import VmRegistration
+from dogwoodmast.clock import ManualClock
+from dogwoodmast.direct.directory import RELIST_WINDOW, VM_PREFIX, Directory
+from dogwoodmast.direct.messages import RateRequest, VmRecord
+from dogwoodmast.direct.rate_keeper import SETTLING_TIME
+from dogwoodmast.direct.rate_limiting import RateLimiting
+from dogwoodmast.direct.retry_budget import RetryBudget
+from dogwoodmast.direct.sync_timing import SyncTiming
+from dogwoodmast.direct.vm_registration import VmRegistration, is_list_certain
 from dogwoodmast.errors import (
     PlatformAnswerLost,
     PlatformRefused,
     PlatformUnavailable,
 )
-from dogwoodmast.key_value import Delete, Expectation, Put, SwapResult
+from dogwoodmast.key_value import (
+    Change,
+    ChangePage,
+    Delete,
+    Expectation,
+    Put,
+    Snapshot,
+    StoredValue,
+    SwapResult,
+)
+from dogwoodmast.platform.documents import decode_catalog_item
 from simulated_time import run_simulated
 
 if TYPE_CHECKING:
     from dogwoodmast.key_value import PolledStore
+    from dogwoodmast.link_pool import LinkPool
 
 RECORD = VmRecord('vm0', 'a', '127.0.0.1:1', 'i0')
 """Record of the VM."""
@@ -34,6 +51,18 @@
 """Time from the stop signal to the end of the process, in seconds."""
 CONFIG_APPLY_TIME = 2.0
 """Time within which VMs follow a change of the store, in seconds."""
+VMS = tuple(attrs.evolve(RECORD, name=f'vm{one}') for one in range(12))
+"""Records of the VMs of a fleet."""
+LISTED = Snapshot(
+    5, tuple(StoredValue(f'{VM_PREFIX}{vm.name}', encode(vm), 4) for vm in VMS)
+)
+"""Store in which all of them are registered."""
+LAPSED = ChangePage(
+    6, tuple(Change(f'{VM_PREFIX}{vm.name}', None, 6) for vm in VMS)
+)
+"""Changes by which no registration is left."""
+OUTAGE_END = 30.0
+"""Monotonic time at which the store answers again, in seconds."""
 
 
 @attrs.define(eq=False)
@@ -192,3 +221,89 @@
         return is_listed and store.registered[KEY][0] == encode(RECORD)
 
     assert run_simulated(run)
+
+
+@pytest.fixture
+def reader() -> Directory:
+    """Make a copy that learns after an outage that all registrations lapsed.
+
+    :return: Copy of a VM that reads the store.
+    """
+    made = Directory(decode_catalog_item)
+    made.on_snapshot(LISTED, 1)
+    made.on_outage(OUTAGE_END)
+    made.on_changes(LAPSED, OUTAGE_END)
+    return made
+
+
+@pytest.fixture
+def puller(reader: Directory) -> Directory:
+    """Make a copy that has pulled these changes.
+
+    :param reader: Copy that it pulls from.
+    :return: Copy of a VM that does not read the store.
+    """
+    made = Directory(decode_catalog_item)
+    made.on_snapshot(LISTED, 1)
+    page = reader.page_since(5, OUTAGE_END)
+    made.on_page(page, OUTAGE_END, OUTAGE_END, 5)
+    return made
+
+
+def test_vms_share_the_retry_budget_after_an_outage(
+    reader: Directory, puller: Directory
+) -> None:
+    """VMs that run but are not registered again yet do not spend it each."""
+    slack, spent = 20, 0
+    for directory in (reader, puller) * (len(VMS) // 2):
+        budget = RetryBudget(0, 4, slack)
+        while budget.try_spend(len(directory.vms()), OUTAGE_END):
+            spent += 1
+    assert spent <= slack
+
+
+def test_vms_that_do_not_come_back_count_no_longer(
+    reader: Directory, puller: Directory
+) -> None:
+    """They have ended in the outage."""
+    at = OUTAGE_END + RELIST_WINDOW
+    reader.on_changes(ChangePage(7, ()), at)
+    puller.on_page(reader.page_since(6, at), at, at, 6)
+    assert not reader.vms()
+    assert not puller.vms()
+
+
+def test_keeper_without_a_registration_gives_a_stand_ins_permits() -> None:
+    """VMs without the outage take another one for the keeper, which gives all.
+
+    But some permits are given: targets with a limit are not left unserved.
+    """
+    given = []
+    for vm in VMS:
+        clock = ManualClock(OUTAGE_END - SETTLING_TIME * 2)
+        directory = Directory(decode_catalog_item)
+        directory.on_snapshot(LISTED, clock.monotonic())
+        links = cast('LinkPool', None)
+        timing = SyncTiming(CONFIG_APPLY_TIME)
+        rates = RateLimiting(vm.name, directory, links, clock, timing)
+        rates.check_list = functools.partial(is_list_certain, directory)
+        rates.refresh()
+        clock.advance(SETTLING_TIME * 2)
+        directory.on_outage(OUTAGE_END)
+        directory.on_changes(LAPSED, OUTAGE_END)
+        rates.refresh()
+        given.append(count_permits(rates))
+    assert sorted(given)[-2:] == [1, 1]
+
+
+def count_permits(rates: RateLimiting) -> int:
+    """Count the permits that a VM gives at once.
+
+    :param rates: Its parts.
+    :return: Number of permits for a target with a limit of 10 a second.
+    """
+    request = RateRequest('t', 1, 0, 10, 0, 0)
+    count = 0
+    while rates.keeper.on_request(request).is_permitted:
+        count += 1
+    return count
