Free the room of a VM's process that another has replaced

What callers saw: a target whose room is granted by a keeper takes fewer requests than it can run, for as long as the deadline of the requests of an entry VM that has lost its power, although that VM runs again.

Cause: the keeper learns from the end of a link that a VM may have ended. The link of a machine that lost its power doesn't end by itself, and the keeper sends nothing on it that would tell. The list of VMs shows the new process under the same name; the keeper didn't look.

Why it works: two processes can't have one name and address at a time, so that a new incarnation in the list means that the earlier one has ended. What the new process holds is told apart by its incarnation.

Ruled out: the same for VMs that are no longer listed, since a VM that stops gives up its registration first and runs its requests on.

--- a/src/dogwoodmast/direct/room/room_keeper.py
+++ b/src/dogwoodmast/direct/room/room_keeper.py
@@ -129,6 +129,10 @@
         now = self._clock.monotonic()
         vms = frozenset(self._list_vms())
         if vms != self._vms:
+            for incarnation in _find_replaced(self._vms, vms):
+                # The link of a machine that lost its power ends much later.
+                self._links.pop(incarnation, None)
+                self._on_vm_lost(incarnation)
             self._vms = vms
             self._orders.clear()
         self._targets = {}
@@ -284,3 +288,15 @@
                     target=target,
                     requests=count,
                 )
+
+
+def _find_replaced(
+    before: Iterable[VmRecord], listed: Iterable[VmRecord]
+) -> list[str]:
+    """List the incarnations that others have replaced under their names."""
+    incarnations = {vm.name: vm.incarnation for vm in listed}
+    return [
+        vm.incarnation
+        for vm in before
+        if incarnations.get(vm.name, vm.incarnation) != vm.incarnation
+    ]
--- a/tests/test_room_failures.py
+++ b/tests/test_room_failures.py
@@ -20,7 +20,7 @@
 )
 from dogwoodmast.direct.room.refusals import RETURN_SHARE, Refusal, Refusals
 from dogwoodmast.direct.room.room_book import RoomBook
-from dogwoodmast.direct.room.room_keeper import RoomKeeper
+from dogwoodmast.direct.room.room_keeper import SETTLING_TIME, RoomKeeper
 from test_room_machine import make_return, make_target
 
 if TYPE_CHECKING:
@@ -173,6 +173,32 @@
     assert keeper.used == 0
 
 
+async def test_room_of_a_replaced_vm_is_held_until_its_deadlines() -> None:
+    """Its machine lost its power, so that no link is known to have ended."""
+    own = VmRecord('vm0', 'a', '', 'i0', keeps_room=True)
+    vms = [own, attrs.evolve(own, name='vm1', incarnation='i1')]
+    clock = ManualClock()
+    targets: list[Target] = [make_target('t1')]
+    keeper = RoomKeeper('vm0', clock, lambda: vms, lambda: targets)
+    keeper.refresh()
+    clock.advance(SETTLING_TIME)
+    keeper.refresh()
+    lost = attrs.evolve(make_ask(0, 'i1'), time_left=12, objective=10)
+    replies: list[RoomReply] = []
+    book = keeper.find_book(GROUP)
+    assert book is not None
+    while not book.waiting:
+        lost = attrs.evolve(lost, number=lost.number + 1)
+        book.ask(lost, clock.monotonic(), replies.append)
+    duration = book.rooms[0].mean_duration
+    vms[1] = attrs.evolve(vms[1], incarnation='i2')
+    keeper.refresh()
+    assert replies[-1].verdict != Verdict.GRANTED
+    clock.advance(duration)
+    book.tick(clock.monotonic())
+    assert (book.used, book.waiting) == (0, 0)
+
+
 def test_vms_of_an_earlier_build_keep_no_room() -> None:
     """They would close the link on which they are asked."""
     earlier = VmRecord('vm0', 'a', '', 'i0', 10)
