--- a/src/dogwoodmast/caller_connection.py
+++ b/src/dogwoodmast/caller_connection.py
@@ -165,16 +165,15 @@
         self, cycle: RequestResponseCycle, message: MutableMapping[str, Any]
     ) -> MutableMapping[str, Any]:
         """Close with a response if it is the last one, and only then."""
-        headers = list(message.get('headers', ()))
-        closes = _CLOSE in headers
+        announced = message.get('headers', ())
+        closes = _CLOSE in announced
         if not closes and not self._is_stopping:
             return message
         self._is_ending = not cycle.keep_alive or not self._is_followed(cycle)
         if closes is self._is_ending:
             return message
-        if closes:
-            headers.remove(_CLOSE)
-        else:
+        headers = [one for one in announced if one != _CLOSE]
+        if not closes:
             headers.append(_CLOSE)
         return {**message, 'headers': headers}
 
