Count no refusal of a VM that starts or stops as a lost target

Callers of a VM that reaches none of a request's targets were rejected with owner-unreachable after two other VMs had said that they start or stop, although a third could run the request: each of these refusals counted as a word that the target is gone (GONE_VOTES is 2).

They have not looked for the target. Only a VM that serves, and is not cut off itself, says something of it.

test_refusals_of_stopping_vms_end_a_request_that_a_third_can_run failed on the code before for both problems (owner-unreachable in place of the third or fourth VM's 200) and passes; it also shows that these refusals cost no retry of the budget. A request that all VMs refuse is rejected as not run with Retry-After, before and after.

--- a/src/dogwoodmast/direct/relay_dispatcher.py
+++ b/src/dogwoodmast/direct/relay_dispatcher.py
@@ -194,7 +194,15 @@
 
 
 def _is_vote(outcome: RelayOutcome) -> bool:
-    return isinstance(outcome, RelayProblem) and not outcome.is_cut
+    """Tell whether another VM says that the target is gone.
+
+    One that starts or stops has not looked for it.
+    """
+    match outcome:
+        case RelayProblem(problem, is_cut):
+            return not is_cut and problem.type not in _NOT_SERVING
+        case _:
+            return False
 
 
 def _is_useless(outcome: RelayOutcome) -> bool:
