Tell other VMs that a relay stops, and refuse their requests at its end

Other VMs relayed requests through a stopping VM until its own callers' requests had ended, up to 5.6 s after the signal, and what ran then was cut: their callers got 502 for requests that may have run. They learn of the stop from the store, which may be in an outage.

From the signal on, all responses of the relay carry `connection: close` and say that the VM stops. A VM that is told so relays through that process only if it has no other way, without the store; a process that has started again under the name is not meant. For the time in which the VM takes connections (3 s) relayed requests are still run, since it may be the only way to the target; from then on new ones are refused as not run, which the asking VM takes to another VM at once, without a retry of the budget. The refusal is sent after the body was read, so that it is not lost with a reset connection. Accepted ones are answered before the end.

Ruled out: refusing from the signal on, which would fail requests whose only way it is, and `connection: close` alone as the sign, which says nothing of the next connection.

--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -422,7 +422,9 @@
         tasks.start_soon(coordinator.leave)
         tasks.start_soon(registration.leave)
         stop_time = self._bounds.stop_time - EXIT_MARGIN
-        await anyio.sleep(min(DEREGISTRATION_DELAY, stop_time / 2))
+        accept_time = min(DEREGISTRATION_DELAY, stop_time / 2)
+        tasks.start_soon(self._relaying.leave, accept_time)
+        await anyio.sleep(accept_time)
         self._server.request_shutdown()
         with anyio.move_on_after(stop_time - DEREGISTRATION_DELAY):
             await self._gateway.await_idle()
--- a/src/dogwoodmast/direct/relay_dispatcher.py
+++ b/src/dogwoodmast/direct/relay_dispatcher.py
@@ -149,6 +149,8 @@
         progress.last_outcome = Broken('no response before the deadline')
         with self._peers.counting(peer.name):
             outcome = await exchange.run()
+        if exchange.is_peer_stopping:
+            self._peers.on_stopping(peer)
         progress.last_outcome = previous
         seconds = self._clock.monotonic() - started_at
         progress.trace.on_relay(peer.name, outcome, seconds)
--- a/src/dogwoodmast/direct/relay_exchange.py
+++ b/src/dogwoodmast/direct/relay_exchange.py
@@ -30,6 +30,7 @@
     parse_attempt,
     parse_problem,
     parse_target,
+    tells_stop,
 )
 from dogwoodmast.direct.statement_book import StatementBook
 from dogwoodmast.direct.target_connection import (
@@ -60,6 +61,8 @@
     _clock: Clock
     _deliver: Deliver
     _statements: StatementBook
+    is_peer_stopping: bool = False
+    """Whether the other VM has told that it stops."""
 
     async def run(self) -> RelayOutcome:
         """Send the request and forward the response to the caller.
@@ -86,6 +89,7 @@
         is_first = connection.is_new
         self.call.carriers.append(connection)
         head = await connection.send_request(self._build_request())
+        self.is_peer_stopping = tells_stop(head.headers)
         body, rest = await buffer_body(connection.read_body(), self.call.held)
         if not self._is_own(head, is_first=is_first):
             return Broken('response does not carry the attempt ID')
--- a/src/dogwoodmast/direct/relay_gateway.py
+++ b/src/dogwoodmast/direct/relay_gateway.py
@@ -6,12 +6,17 @@
 
 import attrs
 
-from dogwoodmast.direct.gateway import DirectGateway, RequestRejected
+from dogwoodmast.direct.gateway import (
+    UNAVAILABLE_RETRY_DELAY,
+    DirectGateway,
+    RequestRejected,
+)
 from dogwoodmast.direct.reach import ReachTracker
 from dogwoodmast.direct.relay_protocol import (
     RelayedRequest,
     parse_relayed_request,
     problem_headers,
+    stopping_headers,
     target_headers,
 )
 from dogwoodmast.problem import Problem, ProblemType
@@ -33,6 +38,8 @@
 
     reach: ReachTracker = attrs.field(factory=ReachTracker)
     """Which targets this VM reaches."""
+    refuses_new: bool = False
+    """Whether new requests are refused as not run, since the VM ends soon."""
     _relayed_at: dict[str, float] = attrs.field(factory=dict)
 
     @property
@@ -42,6 +49,12 @@
         return sum(at >= since for at in self._relayed_at.values())
 
     def _relayed_request(self, scope: Scope) -> RelayedRequest | None:
+        if self.refuses_new:
+            raise RequestRejected(
+                Problem(
+                    ProblemType.STOPPING, retry_after=UNAVAILABLE_RETRY_DELAY
+                )
+            )
         relayed = parse_relayed_request(scope['headers'])
         if relayed is None:
             raise RequestRejected(Problem(ProblemType.UNKNOWN_SERVICE))
@@ -68,6 +81,10 @@
             return []
         return target_headers(response.target)
 
+    def _closing_headers(self) -> RawHeaders:
+        headers = super()._closing_headers()
+        return [*headers, *stopping_headers()] if headers else headers
+
     def _record_end(
         self, call: Call, trace: Trace, result: Rejected | Delivered | None
     ) -> None:
--- a/src/dogwoodmast/direct/relay_peers.py
+++ b/src/dogwoodmast/direct/relay_peers.py
@@ -55,6 +55,7 @@
     _random: random.Random = attrs.field(factory=random.Random)
     _avoided: dict[tuple[str, str], float] = attrs.field(factory=dict)
     _proven: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    _stopping: dict[str, str] = attrs.field(factory=dict)
     _in_flight: Counter[str] = attrs.field(factory=Counter)
     _pools: dict[tuple[str, str], ConnectionPool] = attrs.field(factory=dict)
 
@@ -83,6 +84,7 @@
         ]
         if not usable:
             return None
+        usable = [one for one in usable if not self._stops(one)] or usable
         strongest = max(one.capacity for one in usable)
         strong = [
             one
@@ -101,6 +103,13 @@
         until = self._clock.monotonic() + AVOID_PERIOD
         self._avoided[peer, service] = until
 
+    def on_stopping(self, peer: VmRecord) -> None:
+        """Use a process only if no other one can be used, since it stops.
+
+        :param peer: Record of the VM, with the incarnation that stops.
+        """
+        self._stopping[peer.name] = peer.incarnation
+
     def on_delivered(self, peer: str, service: str) -> None:
         """Record that a VM has relayed a request.
 
@@ -139,6 +148,9 @@
         for pool in self._pools.values():
             await pool.aclose()
 
+    def _stops(self, peer: VmRecord) -> bool:
+        return self._stopping.get(peer.name) == peer.incarnation
+
     def _load(self, peer: VmRecord, service: str) -> float:
         load = (self._in_flight[peer.name] + 1) / (peer.capacity or 1)
         if peer.zone != self._zone:
--- a/src/dogwoodmast/direct/relay_protocol.py
+++ b/src/dogwoodmast/direct/relay_protocol.py
@@ -29,11 +29,12 @@
 _OUTCOME = b'dogwoodmast-relay-outcome'
 _CUT = b'dogwoodmast-relay-cut'
 _ATTEMPT = b'dogwoodmast-relay-attempt'
+_STOPPING = b'dogwoodmast-relay-stopping'
 
 RELAY_HEADERS = frozenset((_ORIGIN, _SERVICE, _ATTEMPTS, _AVOID))
 """Headers that only a relayed request has; those of callers are dropped."""
 RELAY_RESPONSE_HEADERS = frozenset(
-    (_TARGET, _PROBLEM, _OUTCOME, _CUT, _ATTEMPT)
+    (_TARGET, _PROBLEM, _OUTCOME, _CUT, _ATTEMPT, _STOPPING)
 )
 """Headers that only another VM adds to a response; those of targets are
 dropped."""
@@ -115,6 +116,20 @@
     return name, int(found[1])
 
 
+def stopping_headers() -> RawHeaders:
+    """Build the headers of all responses of a VM that is stopping."""
+    return [(_STOPPING, b'1')]
+
+
+def tells_stop(headers: RawHeaders) -> bool:
+    """Tell whether the VM that made a response is stopping.
+
+    :param headers: Header names in lower case, with values.
+    :return: Whether the next request should go to another VM.
+    """
+    return _STOPPING in dict(headers)
+
+
 @attrs.frozen
 class RelayProblem:
     """Problem that the other VM ended a relayed request with."""
--- a/src/dogwoodmast/direct/relaying.py
+++ b/src/dogwoodmast/direct/relaying.py
@@ -86,11 +86,25 @@
         )
         tasks.start_soon(self._server.serve)
 
+    async def leave(self, accept_time: float) -> None:
+        """Tell other VMs in all responses that this one stops.
+
+        Their requests are run for a while, since no other VM may reach the
+        target, and then refused as not run.
+
+        :param accept_time: Time for which they are run, in seconds.
+        """
+        if self._gateway is not None:
+            self._gateway.draining = True
+            await anyio.sleep(accept_time)
+            self._gateway.refuses_new = True
+
     async def stop(self) -> None:
         """Accept no more requests, and wait for those in flight."""
         if self._server is None or self._gateway is None:
             return
         self._gateway.draining = True
+        self._gateway.refuses_new = True
         self._server.request_shutdown()
         await self._gateway.await_idle()
         await self._server.await_closed()
