Read no request behind a response that has announced the end

A request that arrived while a response with `connection: close` was still being sent, such as a download in a stop, was read and never answered; its caller could not tell that it had not run.

Reading pauses now with the head of that response, so that such a request stays in the socket. Callers that leave meanwhile are found out by the next write.

--- a/src/dogwoodmast/caller_connection.py
+++ b/src/dogwoodmast/caller_connection.py
@@ -170,6 +170,9 @@
         if not closes and not self._is_stopping:
             return message
         self._is_ending = not cycle.keep_alive or not self._is_followed(cycle)
+        if self._is_ending:
+            # What arrives from now on is left unread, as it is not answered.
+            self.flow.pause_reading()
         if closes is self._is_ending:
             return message
         headers = [one for one in announced if one != _CLOSE]
--- a/tests/test_pipelined_requests.py
+++ b/tests/test_pipelined_requests.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
+import sys
+import termios
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
@@ -26,6 +29,8 @@
 """Time that the application takes for a request, in seconds."""
 READ_TIME = 0.1
 """Time after which bytes that were sent have been read, in seconds."""
+LAST = b'Connection: close\r\n'
+"""Header line with which a caller ends its connection."""
 END_BOUND = 5.0
 """Time within which the server closes a connection, in seconds."""
 
@@ -55,6 +60,8 @@
         path = scope['path'].encode()
         self.began.set()
         headers = [(b'content-length', b'%d' % (len(path) + len(body)))]
+        if self.draining:
+            headers.append((b'connection', b'close'))
         if path == b'/begun':
             await send(
                 {
@@ -67,8 +74,8 @@
         if path == b'/begun':
             await send({'type': 'http.response.body', 'body': path + body})
         else:
-            if self.draining:
-                headers.append((b'connection', b'close'))
+            if path == b'/fails':
+                raise RuntimeError(path)
             await send_response(send, 200, headers, path + body)
         self.served.append(scope['path'])
 
@@ -179,6 +186,30 @@
     assert closing_heads(received) == [False, True]
 
 
+async def test_request_is_read_behind_a_response_that_ends_the_connection() -> (
+    None
+):
+    """It would never be answered; unread, its caller may send it again."""
+    async with caller(draining=True) as one:
+        await one.send(post('/begun'))
+        await one.send(post('/late'))
+        connection = next(iter(one.server.server_state.connections))
+        opened = connection.transport.get_extra_info('socket')
+        waiting = fcntl.ioctl(opened.fileno(), termios.FIONREAD, bytes(4))
+        assert int.from_bytes(waiting, sys.byteorder) == len(post('/late'))
+        received = await one.reader.readuntil(b'/begun')
+    assert closing_heads(received) == [True]
+
+
+async def test_failure_of_the_application_drops_requests_behind_it() -> None:
+    """It is answered, and so are they."""
+    async with caller(draining=False) as one:
+        await one.send(post('/fails'), post('/b', more=LAST))
+        received = await one.read_to_end()
+    assert received.startswith(b'HTTP/1.1 500')
+    assert one.application.served == ['/b']
+
+
 async def test_request_that_was_read_partly_holds_the_connection() -> None:
     """The last whole request's response ends it."""
     async with caller(draining=True) as one:
@@ -206,7 +237,7 @@
     async with caller(draining=False) as one:
         await one.send(
             post('/a'),
-            post('/b', more=b'Connection: close\r\n'),
+            post('/b', more=LAST),
             post('/c'),
         )
         received = await one.read_to_end()
