Accept connections for 3 s in a planned stop, not for 2.8 s

Callers whose connection came 2.8 to 3.0 s after SIGTERM were refused. The load balancer asks for readiness once a second and removes a VM after two misses, so that it may still forward connections then.

Cause: the time for which a stopping VM accepts is at most half of its stop time, and the half was taken after the margin of 0.4 s for the exit had been subtracted: (6 - 0.4) / 2. The end was reckoned from 3.0 s nevertheless, so that the VM closed its connections 0.2 s earlier than meant as well, at 5.4 s. Both are now reckoned from the stop time that is set.

Seen with a VM of its own process and one target: a request that was sent 2.85 s after the signal got no connection before, and is answered now, with work of 0.02 s and of 0.4 s. Ruled out: requests that the VM had read were not cut, since the same sends up to 2.4 s were all answered.

--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -421,10 +421,11 @@
         self._room.stop()
         tasks.start_soon(coordinator.leave)
         tasks.start_soon(registration.leave)
-        stop_time = self._bounds.stop_time - EXIT_MARGIN
-        await anyio.sleep(min(DEREGISTRATION_DELAY, stop_time / 2))
+        stop_time = self._bounds.stop_time
+        accept_time = min(DEREGISTRATION_DELAY, stop_time / 2)
+        await anyio.sleep(accept_time)
         self._server.request_shutdown()
-        with anyio.move_on_after(stop_time - DEREGISTRATION_DELAY):
+        with anyio.move_on_after(stop_time - EXIT_MARGIN - accept_time):
             await self._gateway.await_idle()
             await self._relaying.stop()
             await self._server.await_closed()
