Reject what can't end before a planned stop, and answer what has not

In a planned stop, callers got a closed connection or a 500 for requests whose work could not end before the VM's end, among them requests that had waited and never been passed on, and requests that must not be repeated.

Cause: nothing compared the rest of the stop time with the time that a request needs. Each request kept its caller's deadline (12 s, say), so that queueing, retries, asks for room and the time that a target is told went beyond the end of the VM, 5.6 s after SIGTERM, at which all was cut.

From the signal on, the deadline of each request, also of those that wait, is at most the time at which a target's response must be there (5.4 s). A request is sent only while its work fits: by a cautious estimate if it may not be repeated or is sent after the last connections (3 s), by a typical one otherwise; of unknown work, as long as connections come. What does not fit, at arrival or once it has waited too long, wherever it waits, gets 503 "stopping", not run, with a short Retry-After. At 5.5 s what was sent and has no response gets 502, may have run, and what is still being read gets 503. A response that is being forwarded goes on to the end. REQUESTS_STOPPED counts both.

A request whose connection has not carried it yet counts as not run when its time is over; before, any attempt in progress counted as sent.

Seen with a VM of its own process and one target, 14 requests of 3.2 s from 0 to 2.6 s after the signal: before, all but those sent first were passed on or waited and ended with 500 at the end, after; each is answered 200 if it ran and 503 if not. With a silent target of one slot and four requests, before: four times 500; now 502 for those that were sent, 503 for the rest. Short requests (0.02 and 0.4 s) until 2.85 s are all answered 200, and an idle VM ends as early as before.

Ruled out: the margin at the exit is enough for own answers to leave, and the load balancer is not at fault: the requests had been read.

--- a/src/dogwoodmast/direct/call.py
+++ b/src/dogwoodmast/direct/call.py
@@ -39,7 +39,8 @@
     arrived_at: float
     """Monotonic time at which the request arrived, in seconds."""
     deadline: float
-    """Monotonic time by which the caller needs a response, in seconds."""
+    """Monotonic time by which the caller needs a response, or by which it must
+    be there since the VM stops, in seconds."""
     fingerprint: bytes = b''
     """Hash of host, method, path and body; equal when the request is
     repeated, so that requests that crash targets can be quarantined."""
@@ -48,12 +49,20 @@
     counted."""
     relayed: RelayedRequest | None = None
     """What the VM that took the request tells, if that is another one."""
+    until: float | None = None
+    """Monotonic time by which the caller needs a response, in seconds, if
+    ``deadline`` is earlier since the VM stops; ``None`` otherwise."""
     caller: int = 0
     """Hash of the caller and what it requests, or 0 if it is not known."""
     carriers: list[TargetConnection] = attrs.field(factory=list)
     """Connections that have carried it; a repeated response to it on one of
     them would pass for that to another attempt."""
 
+    @property
+    def caller_deadline(self) -> float:
+        """Monotonic time by which the caller needs a response, in seconds."""
+        return self.deadline if self.until is None else self.until
+
     @property
     def avoided(self) -> frozenset[str]:
         """Names of targets that the request must not be sent to."""
--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -64,16 +64,9 @@
 """Longest time between two updates of the targets, in seconds.  Store entries
 that expired during an outage are kept for a grace period, and its end gives
 no change notification."""
-DEREGISTRATION_DELAY = 3.0
-"""Time for which a stopping VM still accepts connections, in seconds, unless
-half of its stop time is shorter; the load balancer checks readiness once a
-second and removes a VM after two failures."""
 FLUSH_DELAY = 0.1
 """Pause between the end of the last request and the end of the process, in
 seconds, in which the last responses are sent."""
-EXIT_MARGIN = 0.4
-"""Time by which the process ends by itself before it would be killed, in
-seconds."""
 DEFAULT_KEEP_ALIVE = 15
 """Idle timeout of callers' connections until a configuration sets one, in
 seconds."""
@@ -182,6 +175,7 @@
         await self._await_stop(signals)
         log_event(Event.VM_STOPPING, vm=self._record.name)
         await self._stop(tasks, coordinator, registration)
+        self._dispatcher.stopping.log()
 
     def _make_coordinator(self) -> Coordinator:
         parts = CoordinatorDependencies(
@@ -414,18 +408,20 @@
         Readiness fails at once, so that the load balancer removes the VM, and
         the coordinator role and the registration are given up meanwhile.  Then
         the server accepts no more connections, and requests in flight are
-        awaited until shortly before the process would be killed.
+        awaited until shortly before the process would be killed.  Requests that
+        can't end by then are rejected as soon as that is known.
         """
         self._readiness.draining = True
         self._gateway.draining = True
         self._room.stop()
         tasks.start_soon(coordinator.leave)
         tasks.start_soon(registration.leave)
-        stop_time = self._bounds.stop_time
-        accept_time = min(DEREGISTRATION_DELAY, stop_time / 2)
-        await anyio.sleep(accept_time)
+        stopping = self._dispatcher.stopping
+        window = stopping.begin(self._bounds.stop_time)
+        tasks.start_soon(stopping.run, window)
+        await anyio.sleep(window.accepts_until - stopping.now)
         self._server.request_shutdown()
-        with anyio.move_on_after(stop_time - EXIT_MARGIN - accept_time):
+        with anyio.move_on_after(window.closes_at - stopping.now):
             await self._gateway.await_idle()
             await self._relaying.stop()
             await self._server.await_closed()
--- a/src/dogwoodmast/direct/dispatcher.py
+++ b/src/dogwoodmast/direct/dispatcher.py
@@ -41,6 +41,7 @@
 from dogwoodmast.direct.settings import Bounds
 from dogwoodmast.direct.shard_view import ShardView
 from dogwoodmast.direct.slot_finder import SlotFinder
+from dogwoodmast.direct.stopping import Stopping
 from dogwoodmast.direct.target_set import TargetSet
 from dogwoodmast.direct.zones.homes import Homes
 from dogwoodmast.problem import ProblemType
@@ -78,6 +79,12 @@
     _room: RoomAdmission | None = None
     homes: Homes = attrs.field(factory=Homes)
     """Regions that requests may be sent to."""
+    stopping: Stopping = attrs.field(
+        default=attrs.Factory(
+            lambda self: Stopping(self._clock), takes_self=True
+        )
+    )
+    """Ends requests that can't be served before the VM has stopped."""
     _retry_budgets: RetryBudgets = attrs.field(factory=RetryBudgets)
     _rejections: Rejections = attrs.field(
         init=False,
@@ -96,6 +103,7 @@
                 self._rejections,
                 self._room,
                 homes=self.homes,
+                stopping=self.stopping,
             ),
             takes_self=True,
         ),
@@ -127,9 +135,19 @@
             self._count(call)
         progress = Progress(call, trace)
         time_left = call.deadline - self._clock.monotonic()
-        with anyio.move_on_after(time_left):
-            return await self._run(progress, deliver)
-        return self._rejections.give_up(progress, ProblemType.DEADLINE_EXCEEDED)
+        with self.stopping.open(progress) as opened:
+            with anyio.move_on_after(time_left):
+                result = await self._run(progress, opened.forward(deliver))
+                self.stopping.count(result)
+                return result
+            return self._rejections.give_up(
+                progress, ProblemType.DEADLINE_EXCEEDED
+            )
+        rejected = self._rejections.reject_stopping(progress)
+        self.stopping.count(rejected)
+        if progress.is_uncertain:
+            self.stopping.unanswered += 1
+        return await self._finish(progress, rejected, deliver)
 
     def _count(self, call: Call) -> None:
         """Count a request at the VM that its caller sent it to."""
@@ -148,9 +166,7 @@
                 return await self._finish(progress, rejected, deliver)
             limiter = await self._slots.acquire(progress)
             if isinstance(limiter, Unreachable):
-                relayed = await self._relay.run(
-                    progress, limiter, deliver, self._may_spend_retry
-                )
+                relayed = await self._run_relayed(progress, limiter, deliver)
                 return await self._finish(progress, relayed, deliver)
             if isinstance(limiter, Rejected):
                 return await self._finish(progress, limiter, deliver)
@@ -168,6 +184,15 @@
                     )
                     return await self._finish(progress, rejected, deliver)
 
+    async def _run_relayed(
+        self, progress: Progress, unreachable: Unreachable, deliver: Deliver
+    ) -> Rejected | Delivered:
+        if not self.stopping.fits(progress.call):
+            return self._rejections.reject_stopping(progress)
+        return await self._relay.run(
+            progress, unreachable, deliver, self._may_spend_retry
+        )
+
     def _is_quarantined(self, call: Call) -> bool:
         now = self._clock.monotonic()
         return self.quarantine.is_quarantined(call.fingerprint, now)
@@ -197,12 +222,21 @@
         finally:
             self._slots.release_after(progress, limiter, outcome, started_at)
         self._record_outcome(progress, limiter, outcome, started_at)
+        if isinstance(outcome, Delivered):
+            self.stopping.times.add(
+                progress.call.route.name,
+                limiter.target.name,
+                self._clock.monotonic() - started_at,
+            )
         return outcome
 
     async def _exchange(
         self, progress: Progress, limiter: TargetLimiter, deliver: Deliver
     ) -> AttemptOutcome:
+        progress.candidates = (limiter,)
         await self._guard.freshness.wait_checked()
+        if not self.stopping.fits(progress.call, limiter):
+            return Withheld('entry VM is stopping')
         pool = self._targets.pool(limiter)
         if pool is None:
             return Withheld('target is leaving or gone')
@@ -219,8 +253,7 @@
             progress.permit,
             self._guard,
         )
-        # If the deadline cancels the exchange, the request may have run.
-        progress.last_outcome = Broken('no response before the deadline')
+        progress.on_attempt()
         return await exchange.run()
 
     def _record_outcome(
--- a/src/dogwoodmast/direct/gateway.py
+++ b/src/dogwoodmast/direct/gateway.py
@@ -22,6 +22,7 @@
 from dogwoodmast.direct.dispatcher import Dispatcher
 from dogwoodmast.direct.held.byte_account import ByteAccount, HeldBytes
 from dogwoodmast.direct.metrics import Metrics
+from dogwoodmast.direct.rejections import STOP_RETRY_DELAY
 from dogwoodmast.direct.relay_protocol import RELAY_HEADERS, RelayedRequest
 from dogwoodmast.direct.trace import RequestLog, Trace
 from dogwoodmast.platform.headers import (
@@ -38,6 +39,7 @@
 
     from dogwoodmast._asgi import RawHeaders, Receive, Scope
     from dogwoodmast.direct.catalog import CallerLimits
+    from dogwoodmast.direct.stopping import OpenRequest
 
 UNAVAILABLE_RETRY_DELAY = 0.5
 """``Retry-After`` while the VM has no configuration yet or holds too many
@@ -142,6 +144,17 @@
             await self._idle.wait()
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+        stopping = self._dispatcher.stopping
+        with stopping.open() as reading:
+            await self._read_and_run(scope, receive, send, reading)
+            return
+        rejected = Problem(ProblemType.STOPPING, retry_after=STOP_RETRY_DELAY)
+        stopping.rejected += 1
+        await self._send_problem(send, rejected, _attempt_id(scope))
+
+    async def _read_and_run(
+        self, scope: Scope, receive: Receive, send: Send, reading: OpenRequest
+    ) -> None:
         arrived_at = self._clock.monotonic()
         await self._freshness.wait_checked()
         table = self._directory.route_table
@@ -152,11 +165,13 @@
             return
         with self._bytes.open(selected.route.priority) as held:
             try:
-                _check_announced(scope, selected.table.limits, held)
-                body = await _read_body(receive, selected.table.limits, held)
+                body = await _read_body(
+                    scope, receive, selected.table.limits, held
+                )
                 call = self._callers.with_number(
                     self._make_call(scope, selected, body, arrived_at), scope
                 )
+                reading.is_settled = True
                 await self._run(
                     attrs.evolve(call, held=held), selected.table, receive, send
                 )
@@ -381,8 +396,9 @@
 
 
 async def _read_body(
-    receive: Receive, limits: CallerLimits, held: HeldBytes
+    scope: Scope, receive: Receive, limits: CallerLimits, held: HeldBytes
 ) -> bytes:
+    _check_announced(scope, limits, held)
     body = bytearray()
     has_more = True
     while has_more:
--- a/src/dogwoodmast/direct/progress.py
+++ b/src/dogwoodmast/direct/progress.py
@@ -4,10 +4,11 @@
 
 import attrs
 
-from dogwoodmast.direct.call import AttemptOutcome, Call
+from dogwoodmast.direct.call import AttemptOutcome, Broken, Call
 from dogwoodmast.direct.catalog import TargetKey
 from dogwoodmast.direct.rate_gate import Permit
 from dogwoodmast.direct.room.room_gate import GrantedRoom
+from dogwoodmast.direct.target_limiter import TargetLimiter
 from dogwoodmast.direct.trace import Trace
 
 
@@ -45,6 +46,26 @@
     last_outcome: AttemptOutcome | None = None
     """Outcome of the last attempt, ``Broken`` while one is in progress, or
     ``None`` before the first."""
+    candidates: tuple[TargetLimiter, ...] = ()
+    """Limiters of the targets that the next attempt may be made at; empty if
+    they are not known."""
+    _carried: int = attrs.field(init=False, default=0)
+
+    @property
+    def is_uncertain(self) -> bool:
+        """Whether a target may run the request, or have run it.
+
+        An attempt that is in progress counts once a connection carries it.
+        """
+        return self.may_have_run or (
+            isinstance(self.last_outcome, Broken)
+            and len(self.call.carriers) > self._carried
+        )
+
+    def on_attempt(self) -> None:
+        """Record that an attempt is made, and has not been sent yet."""
+        self._carried = len(self.call.carriers)
+        self.last_outcome = Broken('no response before the deadline')
 
     def on_possible_run(self) -> None:
         """Record that an attempt has ended that may have run the request."""
--- a/src/dogwoodmast/direct/rejections.py
+++ b/src/dogwoodmast/direct/rejections.py
@@ -9,7 +9,7 @@
 
 from dogwoodmast.clock import Clock
 from dogwoodmast.direct.admission_queue import RETRY_JITTER, retry_delay
-from dogwoodmast.direct.call import Broken, Rejected
+from dogwoodmast.direct.call import Rejected
 from dogwoodmast.direct.rate_keeper import MIN_RATE
 from dogwoodmast.direct.statement_book import Leaving, Paused
 from dogwoodmast.problem import Outcome, Problem, ProblemType
@@ -27,6 +27,9 @@
 SHED_RETRY_DELAY = 0.05
 """Base of the ``Retry-After`` when a target refused a request although it had
 room for it, in seconds; the next request may be accepted at once."""
+STOP_RETRY_DELAY = 0.05
+"""Base of the ``Retry-After`` when the VM stops, in seconds; another VM takes
+the request."""
 
 
 @attrs.define(eq=False)
@@ -46,7 +49,8 @@
         :param wait: Expected time until a retry may succeed, in seconds.
         :return: The rejection.
         """
-        time_left = progress.call.deadline - self._clock.monotonic()
+        now = self._clock.monotonic()
+        time_left = progress.call.caller_deadline - now
         if progress.may_have_run:
             return self.give_up(progress, ProblemType.EXCHANGE_BROKEN)
         after = retry_delay(wait, time_left, self._random.random())
@@ -64,16 +68,23 @@
             problem as ``EXCHANGE_BROKEN``.
         :return: The rejection.
         """
-        is_uncertain = progress.may_have_run or isinstance(
-            progress.last_outcome, Broken
-        )
-        if is_uncertain:
+        if progress.is_uncertain:
             if kind is not ProblemType.DEADLINE_EXCEEDED:
                 kind = ProblemType.EXCHANGE_BROKEN
             return Rejected(Problem(kind, Outcome.MAY_HAVE_RUN))
         wait = SHED_RETRY_DELAY if progress.was_shed else NO_OWNER_RETRY_DELAY
         return self.reject(progress, ProblemType.OVERLOADED, wait)
 
+    def reject_stopping(self, progress: Progress) -> Rejected:
+        """End a request for which a VM that stops has no time.
+
+        :param progress: State of the request.
+        :return: The rejection; that it has not run unless it was sent.
+        """
+        if progress.is_uncertain:
+            return self.give_up(progress, ProblemType.EXCHANGE_BROKEN)
+        return self.reject(progress, ProblemType.STOPPING, STOP_RETRY_DELAY)
+
     def reject_quarantined(self, progress: Progress) -> Rejected:
         """Reject a request that crashes targets.
 
--- a/src/dogwoodmast/direct/relay_dispatcher.py
+++ b/src/dogwoodmast/direct/relay_dispatcher.py
@@ -145,8 +145,7 @@
         )
         started_at = self._clock.monotonic()
         previous = progress.last_outcome
-        # If the deadline cancels the exchange, the request may have run.
-        progress.last_outcome = Broken('no response before the deadline')
+        progress.on_attempt()
         with self._peers.counting(peer.name):
             outcome = await exchange.run()
         progress.last_outcome = previous
--- a/src/dogwoodmast/direct/slot_finder.py
+++ b/src/dogwoodmast/direct/slot_finder.py
@@ -36,6 +36,7 @@
     RoomRefused,
 )
 from dogwoodmast.direct.shard_view import ShardView
+from dogwoodmast.direct.stopping import Stopping
 from dogwoodmast.direct.target_set import TargetSet
 from dogwoodmast.direct.zones.homes import Homes
 from dogwoodmast.problem import ProblemType
@@ -61,6 +62,11 @@
     """Expected sizes of responses."""
     homes: Homes = attrs.field(factory=Homes)
     """Regions that requests may be sent to."""
+    _stopping: Stopping = attrs.field(
+        default=attrs.Factory(
+            lambda self: Stopping(self._clock), takes_self=True
+        )
+    )
 
     async def acquire(
         self, progress: Progress
@@ -204,12 +210,17 @@
         if is_unkeyed and call.route.regions:
             # The queue is shared with routes that allow other regions.
             tried |= self._targets.names_outside(call.service, reachable)
+        unfit = self._stopping.unfit(call, reachable.limiters)
+        tried |= unfit
         untried = reachable.without(tried)
+        if unfit and not untried.limiters:
+            return self._rejections.reject_stopping(progress)
         if not untried.limiters:
             return self._rejections.give_up(progress, ProblemType.OVERLOADED)
         usable = untried.admitting(call.route.priority, now)
         if not usable.limiters:
             return self._reject_restricted(progress, untried)
+        progress.candidates = usable.limiters
         found = await self._obtain_room(progress, usable)
         if isinstance(found, NoKeeper):
             return await self._occupy_locally(progress, usable, tried)
@@ -327,13 +338,12 @@
         ) / candidates.service_rate
         time_left = call.deadline - self._clock.monotonic()
         latency_objective = call.route.latency_objective
-        if not should_queue(
-            wait, candidates.mean_latency, time_left, latency_objective
-        ):
+        latency = self._stopping.expected_time(
+            call.route, candidates.mean_latency
+        )
+        if not should_queue(wait, latency, time_left, latency_objective):
             progress.trace.on_wait(len(candidates.queue), wait)
-            return self._rejections.reject(
-                progress, ProblemType.OVERLOADED, wait
-            )
+            return self._reject_unqueued(progress, candidates, wait)
         waiter = Waiter(call.route.priority, call.deadline, tried)
         candidates.queue.add(waiter)
         try:
@@ -343,6 +353,21 @@
             raise
         return waiter.limiter
 
+    def _reject_unqueued(
+        self, progress: Progress, candidates: Candidates, wait: float
+    ) -> Rejected:
+        """Reject a request for its wait, or since the VM stops before."""
+        call = progress.call
+        time_left = call.caller_deadline - self._clock.monotonic()
+        if call.until is not None and should_queue(
+            wait,
+            candidates.mean_latency,
+            time_left,
+            call.route.latency_objective,
+        ):
+            return self._rejections.reject_stopping(progress)
+        return self._rejections.reject(progress, ProblemType.OVERLOADED, wait)
+
     def _cancel_wait(self, candidates: Candidates, waiter: Waiter) -> None:
         if waiter.limiter is None:
             candidates.queue.remove(waiter)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -24,7 +24,7 @@
 )
 from dogwoodmast.address import Address
 from metadata_store import StoreContent, StoreServer, serving
-from platform_target import PlatformTarget
+from platform_target import PlatformTarget, TargetFault
 from test_stop_signals import STOP_TIMEOUT, wait_for_event, write_settings
 
 if TYPE_CHECKING:
@@ -188,6 +188,43 @@
     assert set(vm.statuses()) == {200}
 
 
+async def test_request_that_cannot_end_in_a_stop_is_left_without_an_answer(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Its work is known to take 3.2 s."""
+    target = PlatformTarget('p', work_time=3.2)
+    async with stoppable_vm(tmp_path, target) as vm:
+        await serve_some(vm)
+        served = len(target.runs)
+        sends = [(index * 0.2, PATHS[index % 2]) for index in range(14)]
+        seconds = await vm.stop_while_sending(sends)
+        ran = set(target.runs[served:])
+        answers = sorted(vm.answers)
+    assert seconds < GRACE_TIME
+    assert [status for _, _, status in answers[:2]] == [200, 200]
+    for _, attempt, status in answers:
+        assert (status, attempt in ran) in {(200, True), (503, False)}, answers
+
+
+async def test_request_that_waits_is_left_without_an_answer(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A target of one slot does not answer the request before it."""
+    target = PlatformTarget('p')
+    async with stoppable_vm(tmp_path, target, slots=1) as vm:
+        await serve_some(vm)
+        served = len(target.runs)
+        target.fault = TargetFault.SILENT
+        sends = [(0, path) for path in PATHS * 2]
+        seconds = await vm.stop_while_sending(sends, before=0.5)
+        statuses = vm.statuses()
+        events = vm.log.read_text()
+    assert seconds < GRACE_TIME
+    assert sorted(set(statuses)) == [502, 503]
+    assert statuses.count(502) == len(target.arrivals) - served
+    assert 'REQUESTS_STOPPED' in events
+
+
 @pytest.mark.parametrize('work_time', [0.02, 0.4])
 async def test_request_that_fits_is_turned_away_in_a_stop(
     tmp_path: pathlib.Path, work_time: float
