Close idle connections to the store when one has broken

When something on the path had lost all open connections, each call on an idle one was lost in turn. A connection whose bytes are not acknowledged is reset after 0.5 s, before a renewal's time limit, and only a time-out closed the idle ones; with three of them, retries of a renewal could end a coordinator's term, by arithmetic.

A broken connection now closes the idle ones too, as a time-out does. The test loses one call and makes the next one; with connections that are reset, the second call was lost as well before, and succeeds now.

--- a/src/dogwoodmast/direct/json_client.py
+++ b/src/dogwoodmast/direct/json_client.py
@@ -106,11 +106,9 @@
                 )
         except ConnectFailed:
             raise PlatformUnavailable(endpoint) from None
-        except ExchangeAborted:
-            raise PlatformAnswerLost(endpoint) from None
-        except TimeoutError:
-            # Whatever silenced this connection may have silenced the idle
-            # ones too, and each would cost a time limit.
+        except (ExchangeAborted, TimeoutError):
+            # Whatever broke or silenced this connection may have done so to
+            # the idle ones too, and each would cost a call.
             await self._pool.aclose()
             raise PlatformAnswerLost(endpoint) from None
 
--- a/tests/test_json_client.py
+++ b/tests/test_json_client.py
@@ -85,10 +85,14 @@
     assert not was_arriving
 
 
-async def test_one_call_is_lost_although_all_idle_connections_are_silent() -> (
-    None
-):
-    """Something on the path has lost track of all open connections."""
+@pytest.mark.parametrize('is_reset', [False, True])
+async def test_one_call_is_lost_although_all_idle_connections_are_silent(
+    is_reset: bool,
+) -> None:
+    """Something on the path has lost track of all open connections.
+
+    Bytes that are not acknowledged reset a connection before the time limit.
+    """
     silent_streams: set[anyio.abc.SocketStream] = set()
     streams: set[anyio.abc.SocketStream] = set()
 
@@ -100,6 +104,9 @@
                 await anyio.sleep(0.05)
                 if stream not in silent_streams:
                     await stream.send(RESPONSE)
+                elif is_reset:
+                    await stream.aclose()
+                    return
 
     address = free_address()
     client = JsonClient(address, SystemClock())
