Write the registration again that an earlier process has replaced

What callers saw: an entry VM that serves, but that no other VM counts or asks, until it is started again: room and permits are shared without it, and the retry budget is divided by too few.

Cause: the store may make a write whose answer was lost seconds later. One of a process that was killed puts its record in the place of that of the process which has started under its name since, and takes it along when its lease ends. The new process renews its own lease with success, which no longer protects anything, and never looks at the record.

Evidence, in simulated time: without the check the VM is not registered 6 s after such a write (the time of a renewal and of a change of configuration), whether the earlier lease has ended by then or not; with it, it is.

Why it works: at each renewal the VM looks at its own copy of the store. Once that is as new as the write and does not show the own incarnation, the record is written again. It costs no call.

Ruled out: a read at each renewal, which costs ten times the renewal; a condition on the write, which keeps a process from taking the place of one that was killed before its lease ends.

--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -176,7 +176,9 @@
 
     async def _serve(self, tasks: TaskGroup, signals: SignalStream) -> None:
         coordinator = self._make_coordinator()
-        registration = VmRegistration(self._record, self._store)
+        registration = VmRegistration(
+            self._record, self._store, self._directory
+        )
         await self._start(tasks, coordinator, registration)
         log_event(
             Event.VM_STARTED, vm=self._record.name, zone=self._record.zone
--- a/src/dogwoodmast/direct/vm_registration.py
+++ b/src/dogwoodmast/direct/vm_registration.py
@@ -87,16 +87,25 @@
 class VmRegistration:
     """Task that keeps the local VM's record in the store, bound to a lease."""
 
-    def __init__(self, record: VmRecord, store: PolledStore) -> None:
+    def __init__(
+        self,
+        record: VmRecord,
+        store: PolledStore,
+        directory: Directory | None = None,
+    ) -> None:
         """Create the task.
 
         :param record: Record that identifies the local VM.
         :param store: Client of the platform's store.
+        :param directory: Local copy of the store, which shows whether the
+            record is still there; default: it is as long as its lease stands.
         """
         self._record = record
         self._store = store
         self._lease = NO_LEASE
+        self._directory = directory
         self._is_written = False
+        self._revision = 0
         self._is_leaving = False
 
     async def run(self) -> None:
@@ -138,8 +147,23 @@
                 # No record is bound to the new lease, so that it may expire.
                 return
             self._lease = lease
-        if self._is_written or self._is_leaving:
+        if self._is_leaving or (self._is_written and not self._is_replaced()):
             return
         key = f'{VM_PREFIX}{self._record.name}'
-        await self._store.swap((), (Put(key, encode(self._record), lease),))
+        written = await self._store.swap(
+            (), (Put(key, encode(self._record), lease),)
+        )
+        self._revision = written.revision
         self._is_written = True
+
+    def _is_replaced(self) -> bool:
+        """Tell whether the copy shows that the record was written over.
+
+        The store may make a write of an earlier process late, and remove it
+        when that one's lease ends.
+        """
+        copy = self._directory
+        if copy is None or copy.revision < self._revision:
+            return False
+        found = copy.vms(is_certain=True).get(self._record.name)
+        return found is None or found.incarnation != self._record.incarnation
--- a/tests/test_vm_registration.py
+++ b/tests/test_vm_registration.py
@@ -18,7 +18,11 @@
 from dogwoodmast.direct.rate_limiting import RateLimiting
 from dogwoodmast.direct.retry_budget import RetryBudget
 from dogwoodmast.direct.sync_timing import SyncTiming
-from dogwoodmast.direct.vm_registration import VmRegistration, is_list_certain
+from dogwoodmast.direct.vm_registration import (
+    RENEWAL_INTERVAL,
+    VmRegistration,
+    is_list_certain,
+)
 from dogwoodmast.errors import (
     PlatformAnswerLost,
     PlatformRefused,
@@ -75,6 +79,8 @@
     """Time at which each lease expires, in seconds."""
     is_down: bool = False
     """Whether calls fail."""
+    revision: int = 0
+    """Revision of the latest change."""
     swap_delay: float = 0
     """Time after which writes are made whose answer is lost, in seconds."""
     _numbers: itertools.count[int] = attrs.field(
@@ -126,10 +132,22 @@
         if not self._put(write):
             raise PlatformRefused('store', 404)
         await anyio.sleep(LATENCY)
-        return SwapResult(succeeded=True, revision=1)
+        return SwapResult(succeeded=True, revision=self.revision)
+
+    def show(self, directory: Directory) -> None:
+        """Bring a copy up to date."""
+        values = tuple(
+            StoredValue(key, content, self.revision)
+            for key, (content, _) in self.registered.items()
+            if self.has(key)
+        )
+        self.revision += 1
+        snapshot = Snapshot(self.revision, values)
+        directory.on_snapshot(snapshot, anyio.current_time())
 
     def _put(self, write: Put) -> bool:
         if write.lease in self.leases:
+            self.revision += 1
             self.registered[write.key] = (write.value, write.lease)
         return write.lease in self.leases
 
@@ -223,6 +241,32 @@
     assert run_simulated(run)
 
 
+@pytest.mark.parametrize('life', [0.5, 12])
+def test_late_write_of_an_earlier_process_ends_a_registration(
+    life: float,
+) -> None:
+    """The record is that of the earlier one, and goes with its lease."""
+    earlier = encode(attrs.evolve(RECORD, incarnation='i-1'))
+
+    async def run() -> bool:
+        store = LeaseStore()
+        copy = Directory(decode_catalog_item)
+        registration = VmRegistration(RECORD, cast('PolledStore', store), copy)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(registration.run)
+            await anyio.sleep(1)
+            store.leases[99] = anyio.current_time() + life
+            store.registered[KEY] = (earlier, 99)
+            for _ in range(int(RENEWAL_INTERVAL + CONFIG_APPLY_TIME)):
+                await anyio.sleep(1)
+                store.show(copy)
+            is_listed = store.has(KEY)
+            tasks.cancel_scope.cancel()
+        return is_listed and store.registered[KEY][0] == encode(RECORD)
+
+    assert run_simulated(run)
+
+
 @pytest.fixture
 def reader() -> Directory:
     """Make a copy that learns after an outage that all registrations lapsed.
