--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -428,8 +428,11 @@
         await anyio.sleep(accept_time)
         self._server.request_shutdown()
         with anyio.move_on_after(window.closes_at - stopping.now):
-            await self._gateway.await_idle()
-            await self._relaying.stop()
-            await self._server.await_closed()
-            # Lets the last responses leave the sockets' buffers.
-            await anyio.sleep(FLUSH_DELAY)
+            await self._await_last_responses()
+
+    async def _await_last_responses(self) -> None:
+        await self._gateway.await_idle()
+        await self._relaying.stop()
+        await self._server.await_closed()
+        # Lets the last responses leave the sockets' buffers.
+        await anyio.sleep(FLUSH_DELAY)
