Stop by the stop time of the settings that were loaded last

A VM whose settings were changed to a shorter stop time, and reloaded by SIGHUP, was killed with requests in flight: it stopped by the time that it had been started with.

Cause: a reload replaces the settings and hands the bounds to the parts, but the stop read the bounds that were kept at the start.

Ruled out: the reload itself, SETTINGS_RELOADED was logged before the signal.

--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -421,7 +421,7 @@
         tasks.start_soon(coordinator.leave)
         tasks.start_soon(registration.leave)
         stopping = self._dispatcher.stopping
-        window = stopping.begin(self._bounds.stop_time)
+        window = stopping.begin(self._settings.bounds.stop_time)
         accept_time = window.accepts_until - stopping.now
         tasks.start_soon(stopping.run, window)
         tasks.start_soon(self._relaying.leave, accept_time)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -36,6 +36,7 @@
 """Time after SIGTERM within which callers still send requests, in seconds."""
 GRACE_TIME = 6.0
 """Time after SIGTERM at which the platform kills the process, in seconds."""
+SHORT_GRACE_TIME = 3.0
 TIMEOUT_MS = 12_000
 CUT = 0
 """Stands for the status where a connection ends without a response."""
@@ -248,3 +249,23 @@
     async with stoppable_vm(tmp_path, PlatformTarget('p')) as vm:
         await serve_some(vm)
         assert await vm.stop_while_sending([]) < ACCEPT_TIME + 1
+
+
+async def test_stop_exceeds_a_time_that_was_shortened_by_a_reload(
+    tmp_path: pathlib.Path,
+) -> None:
+    """The process would be killed with a request of a silent target."""
+    target = PlatformTarget('p')
+    async with stoppable_vm(tmp_path, target) as vm:
+        await serve_some(vm)
+        target.fault = TargetFault.SILENT
+        with (tmp_path / 'vm.toml').open('a') as settings:
+            settings.write(f'[bounds]\nstop_time = {SHORT_GRACE_TIME}\n')
+        vm.process.send_signal(signal.SIGHUP)
+        await anyio.to_thread.run_sync(
+            wait_for_event, vm.log, 'SETTINGS_RELOADED'
+        )
+        seconds = await vm.stop_while_sending([(0, PATHS[0])], before=0.5)
+        statuses = vm.statuses()
+    assert seconds < SHORT_GRACE_TIME
+    assert statuses == [502]
