--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -269,3 +269,22 @@
         statuses = vm.statuses()
     assert seconds < SHORT_GRACE_TIME
     assert statuses == [502]
+
+
+async def test_request_that_is_being_read_is_left_without_an_answer(
+    tmp_path: pathlib.Path,
+) -> None:
+    """The end of its body does not come."""
+    request = (
+        f'POST {PATHS[0]} HTTP/1.1\r\nHost: {HOST}\r\n'
+        'Request-Attempt-Id: slow\r\nContent-Length: 9\r\n\r\nx'
+    )
+    async with (
+        stoppable_vm(tmp_path, PlatformTarget('p')) as vm,
+        await anyio.connect_tcp(vm.callers.host, vm.callers.port) as stream,
+    ):
+        await stream.send(request.encode())
+        await vm.stop_while_sending([], before=0.2)
+        answer = await stream.receive()
+    assert answer.startswith(b'HTTP/1.1 503 ')
+    assert b'"not_run"' in answer
