--- a/review/harness/outcome.py
+++ b/review/harness/outcome.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
@@ -31,6 +32,8 @@
     """
     logging.getLogger('uvicorn.error').disabled = True
     is_troubled = sys.argv[1:] != ['0']
+    # The processes that a case has started end with it.
+    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     try:
         code = anyio.run(_play_in_time, play, is_troubled, backend='asyncio')
     except BaseException:  # whatever fails here says nothing of the rule
--- a/review/harness/processes.py
+++ b/review/harness/processes.py
@@ -158,12 +158,17 @@
             await asyncio.sleep(POLL_INTERVAL)
         raise TimeoutError
 
+    def terminate(self) -> None:
+        """Tell the process to stop, if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.terminate()
+
     async def stop(self) -> None:
         """End the process, and kill it if it does not end in time."""
         if self.process is None or self.process.poll() is not None:
             return
-        self.process.send_signal(signal.SIGCONT)
-        self.process.terminate()
+        self.terminate()
         until = time.monotonic() + STOP_TIMEOUT
         while time.monotonic() < until:
             if self.process.poll() is not None:
@@ -193,6 +198,9 @@
         for vm in vms:
             stack.push_async_callback(vm.stop)
             vm.start()
+        # At the end, all are told to stop before any is waited for.
+        for vm in vms:
+            stack.callback(vm.terminate)
         for vm in vms:
             await vm.wait_listening()
         yield
