Read the store anew after it was restored from a copy

Cause: revisions count again from the copy's after a restore, and nothing read Store-Era. Conditions of writes and leases could also mean others that have been given out again.

The client of the store now combines era and revision in one position, which only grows, and qualifies leases by their era. Watches, conditions and leases of an earlier era fail as if the history, the revision or the lease had ended. Responses of an earlier era, malformed ones and lists that span a restore are lost calls or are read again. In the first era positions are plain revisions, so that builds without eras understand them. Copies of other VMs from before a restore are no sources.

Ruled out: a pair of fields in each message, which older builds would ignore.

Tests that took a response of the store as a tuple take the class that replaces it.

--- a/src/dogwoodmast/direct/directory.py
+++ b/src/dogwoodmast/direct/directory.py
@@ -2,7 +2,13 @@
 
 The revision of the copy never decreases: a snapshot or page of an earlier
 revision than the copy's is ignored, whether it comes from the store or from
-another entry VM.
+another entry VM.  Revisions here are positions, so that those of an era after
+a restore of the store are greater than all before it.
+
+A restore undoes changes that the copy has seen.  An older configuration does
+not replace a newer one, targets that were leaving stay so until they say
+otherwise again, and entries that are missing count as present for the time
+within which their writers write them again.
 """
 
 from __future__ import annotations
--- a/src/dogwoodmast/direct/directory_sync.py
+++ b/src/dogwoodmast/direct/directory_sync.py
@@ -34,6 +34,7 @@
 from dogwoodmast.events import Event, log_event
 from dogwoodmast.key_value import PolledStore
 from dogwoodmast.link_pool import LinkPool
+from dogwoodmast.store_position import era_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -281,6 +282,9 @@
         A VM that pulls itself is one only while the store cannot be read, so
         that changes take few hops and no two VMs wait for each other.
         """
+        if era_of(page.revision) < era_of(self._directory.revision):
+            self.activity.last_failure = 'copy is from before a restore'
+            return False
         if page.age > self._timing.max_source_age:
             self.activity.last_failure = f'copy is {page.age:.3f} s old'
             return False
--- a/src/dogwoodmast/direct/json_client.py
+++ b/src/dogwoodmast/direct/json_client.py
@@ -9,6 +9,7 @@
 import attrs
 import orjson
 
+from dogwoodmast._asgi import RawHeaders
 from dogwoodmast.direct.connection_pool import ConnectionPool
 from dogwoodmast.direct.target_connection import OutgoingRequest
 from dogwoodmast.errors import (
@@ -45,6 +46,18 @@
     """Time of the event loop at which bytes came last, in seconds."""
 
 
+@attrs.frozen
+class JsonResponse:
+    """Complete response to a call."""
+
+    status: int
+    """HTTP status."""
+    headers: RawHeaders
+    """Headers, with names in lower case."""
+    content: bytes
+    """Body."""
+
+
 class JsonClient:
     """Client for JSON calls to the store."""
 
@@ -83,7 +96,7 @@
         path: str,
         document: object = None,
         timeout: float = CALL_TIMEOUT,
-    ) -> tuple[int, bytes]:
+    ) -> JsonResponse:
         """Make one call.
 
         :param method: HTTP method.
@@ -91,7 +104,7 @@
         :param document: JSON document to send as the body, or ``None``.
         :param timeout: Time allowed for the head of the response, and again
             for each part of its body, in seconds.
-        :return: Status and body of the response.
+        :return: The response.
         :raises PlatformUnavailable: If no connection could be opened, so that
             nothing was sent.
         :raises PlatformAnswerLost: If there was no complete response; the call
@@ -118,7 +131,7 @@
 
     async def _exchange(
         self, request: OutgoingRequest, scope: anyio.CancelScope
-    ) -> tuple[int, bytes]:
+    ) -> JsonResponse:
         connection = await self._pool.acquire()
         time_limit = scope.deadline - anyio.current_time()
         latest = anyio.current_time() + LONGEST_CALL_TIME
@@ -131,7 +144,7 @@
                 arrival.latest = anyio.current_time()
                 scope.deadline = min(anyio.current_time() + time_limit, latest)
                 chunks.append(chunk)
-        return head.status, b''.join(chunks)
+        return JsonResponse(head.status, head.headers, b''.join(chunks))
 
     @contextmanager
     def _noting_arrival(self) -> Iterator[_Arrival]:
--- a/src/dogwoodmast/errors.py
+++ b/src/dogwoodmast/errors.py
@@ -82,6 +82,27 @@
         return f'response from platform at {self.endpoint}: {self.reason}'
 
 
+@attrs.define
+class OutdatedEra(PlatformAnswerLost):
+    """A call was executed before the store was restored from a copy.
+
+    Whatever it did may have been undone by the restore.
+    """
+
+    era: int
+    """Era of the store in which the call was executed."""
+    latest: int
+    """Latest era of the store that is known."""
+
+    @property
+    def message(self) -> str:
+        """One-sentence description of the failure."""
+        return (
+            f'response from platform at {self.endpoint} is of era {self.era}, '
+            f'before era {self.latest}'
+        )
+
+
 @attrs.define
 class PlatformRefused(PlatformError):
     """The platform responded with an error status.
--- a/src/dogwoodmast/events.py
+++ b/src/dogwoodmast/events.py
@@ -53,6 +53,7 @@
     COPY_OUTDATED = (407, logbook.WARNING)
     COPY_CURRENT = (408, logbook.INFO)
     TARGET_LISTED = (410, logbook.INFO)
+    STORE_RESTORED = (409, logbook.WARNING)
     TARGET_LEAVING = (411, logbook.INFO)
     TARGET_GONE = (412, logbook.INFO)
     TARGET_LIMIT_NAMED = (413, logbook.INFO)
--- a/tests/direct_fleet.py
+++ b/tests/direct_fleet.py
@@ -306,6 +306,7 @@
     document: Any = None,
     with_stale_coordinator: bool = False,
     slots: int = 4,
+    store: StoreServer | None = None,
 ) -> AsyncIterator[DirectFleet]:
     """Run a store, targets and entry VMs until the block ends.
 
@@ -315,10 +316,11 @@
     :param with_stale_coordinator: Whether the store holds a coordinator's
         record of an earlier incarnation of each VM.
     :param slots: Slots of each target.
+    :param store: Server of the store, by default one of an empty store.
     :return: The fleet; its VMs accept connections but may not be ready.
     """
-    content = StoreContent()
-    store = StoreServer(content)
+    store = store or StoreServer(StoreContent())
+    content = store.content
     store_address = free_address()
     addresses = {target.name: free_address() for target in targets}
     fleet = DirectFleet(
--- a/tests/test_decoder_fuzz.py
+++ b/tests/test_decoder_fuzz.py
@@ -24,6 +24,7 @@
     GrantStateMachine,
     divide_keys,
 )
+from dogwoodmast.direct.json_client import JsonResponse
 from dogwoodmast.direct.key_loads import KeyLoads
 from dogwoodmast.direct.relay_protocol import (
     parse_problem,
@@ -375,15 +376,21 @@
 @given(
     st.sampled_from((200, 404, 410, 412, 503)),
     mutated(dict(ANSWER)) | st.binary(max_size=40),
+    st.lists(
+        st.sampled_from((b'0', b'1', b'7', b'', b'x', b'-1', b'9' * 30)),
+        max_size=2,
+    ),
 )
 def test_any_response_of_the_store_is_read_or_a_failed_call(
-    status: int, body: bytes
+    status: int, body: bytes, eras: list[bytes]
 ) -> None:
     """Guards against errors that the callers of the store do not expect."""
 
-    async def call(*_args: object) -> tuple[int, bytes]:
+    async def call(*_args: object) -> JsonResponse:
         await anyio.lowlevel.checkpoint()
-        return status, body.replace(b'"has_more": true', b'"has_more": false')
+        content = body.replace(b'"has_more": true', b'"has_more": false')
+        headers = [(b'store-era', era) for era in eras]
+        return JsonResponse(status, headers, content)
 
     async def call_all() -> None:
         with pytest.MonkeyPatch.context() as patch:
--- a/tests/test_json_client.py
+++ b/tests/test_json_client.py
@@ -39,10 +39,10 @@
     )
     async with listener, anyio.create_task_group() as tasks:
         tasks.start_soon(listener.serve, accept)
-        status, body = await client.call('GET', '/', timeout=0.3)
+        response = await client.call('GET', '/', timeout=0.3)
         await client.aclose()
         tasks.cancel_scope.cancel()
-    assert (status, body) == (200, b'xxxxxx')
+    assert (response.status, response.content) == (200, b'xxxxxx')
     # No other read of the store may begin meanwhile.
     assert len(arriving) == 6
     assert all(arriving)
@@ -122,10 +122,10 @@
         silent_streams.update(streams)
         with pytest.raises(PlatformAnswerLost):
             await client.call('GET', '/', timeout=0.2)
-        status, _ = await client.call('GET', '/', timeout=0.2)
+        response = await client.call('GET', '/', timeout=0.2)
         await client.aclose()
         tasks.cancel_scope.cancel()
-    assert status == 200
+    assert response.status == 200
 
 
 async def test_repeated_response_counts_as_the_value_of_another_key() -> None:
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -11,7 +11,11 @@
 from dogwoodmast._wire import decode
 from dogwoodmast.address import Address
 from dogwoodmast.clock import ManualClock, SystemClock
-from dogwoodmast.direct.json_client import CALL_TIMEOUT, JsonClient
+from dogwoodmast.direct.json_client import (
+    CALL_TIMEOUT,
+    JsonClient,
+    JsonResponse,
+)
 from dogwoodmast.direct.leadership import LEASE_TTL, Leadership
 from dogwoodmast.direct.messages import VmRecord
 from dogwoodmast.errors import PlatformAnswerLost, PlatformUnavailable
@@ -362,8 +366,8 @@
 
     async def call(_client: JsonClient, method: str, *_: object) -> object:
         if method == 'DELETE':
-            return status, b'{}'
-        return 200, b'{"lease": 7, "revision": 9}'
+            return JsonResponse(status, [], b'{}')
+        return JsonResponse(200, [], b'{"lease": 7, "revision": 9}')
 
     monkeypatch.setattr(JsonClient, 'call', call)
     store = MetadataStore(Address('127.0.0.1', 1), SystemClock())
--- a/tests/test_unreadable_responses.py
+++ b/tests/test_unreadable_responses.py
@@ -11,7 +11,7 @@
 
 from dogwoodmast.address import Address
 from dogwoodmast.clock import SystemClock
-from dogwoodmast.direct.json_client import JsonClient
+from dogwoodmast.direct.json_client import JsonClient, JsonResponse
 from dogwoodmast.errors import HistoryLost, PlatformAnswerLost
 from dogwoodmast.platform.store import MetadataStore
 
@@ -45,8 +45,8 @@
     """
     content = body if isinstance(body, bytes) else json.dumps(body).encode()
 
-    async def call(*_args: object) -> tuple[int, bytes]:
-        return status, content
+    async def call(*_args: object) -> JsonResponse:
+        return JsonResponse(status, [], content)
 
     monkeypatch.setattr(JsonClient, 'call', call)
     return MetadataStore(Address('127.0.0.1', 1), SystemClock())
