Keep what is known of targets when the store is restored

Callers' requests reached targets that had said before a restore that they leave, or had left, as the copy lists them as ready until they write again; and targets that the copy does not list yet were gone at once, although their entries are back within two seconds.

Cause: the restored entries counted like new ones. Now a target that was leaving, or gone for certain, counts as leaving, and the latest incarnation that is known stays, until the target writes its entry in the new era; and a restore opens the window in which removals are in doubt, as an outage does.

--- a/src/dogwoodmast/direct/directory.py
+++ b/src/dogwoodmast/direct/directory.py
@@ -31,6 +31,7 @@
 from dogwoodmast.direct.zones.evacuation import EvacuatedZones
 from dogwoodmast.errors import MalformedFrame
 from dogwoodmast.events import Event, log_event
+from dogwoodmast.store_position import era_of, is_later_era
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -322,6 +323,8 @@
         is_partial = page.has_gap and not page.is_complete
         if is_partial and self._revision > after:
             return []
+        if is_later_era(page.revision, self._revision):
+            self.on_outage(now)
         items = page.items
         if page.is_complete:
             items = tuple(
@@ -386,7 +389,12 @@
             decoded = self._decode(key, content)
         if _is_outdated(decoded, self._route_table):
             decoded = None
+        elif known is not None and era_of(known.revision) < era_of(revision):
+            decoded = _merge_restored(known, decoded, self._confirmed_at)
         if known is not None and not known.removed and known.decoded == decoded:
+            if era_of(known.revision) < era_of(revision):
+                # What is written from now on counts as it stands.
+                self._entries[key] = attrs.evolve(known, revision=revision)
             return False
         self._store(Entry(key, revision, content, decoded))
         return True
@@ -447,6 +455,31 @@
     return True
 
 
+def _merge_restored(
+    known: Entry, decoded: object, confirmed_at: float
+) -> object:
+    """Keep what was known of a target whose entry was restored.
+
+    The entry may be of an earlier incarnation, or from before the target said
+    that it leaves.
+
+    :param known: Entry of the copy from before the restore.
+    :param decoded: Restored value.
+    :param confirmed_at: Monotonic time of the last confirmation of the copy,
+        in seconds.
+    :return: Value that counts until the target writes its entry again.
+    """
+    before = known.decoded
+    if not (isinstance(decoded, Target) and isinstance(before, Target)):
+        return decoded
+    if before.born < decoded.born:
+        return decoded
+    is_gone = known.removed and known.retained_until <= confirmed_at
+    latest = before if decoded.born < before.born else decoded
+    leaving = before.leaving or is_gone or latest.leaving
+    return attrs.evolve(latest, leaving=leaving)
+
+
 def _supersede(
     item: DirectoryItem, known: Entry | None, revision: int
 ) -> DirectoryItem:
--- a/src/dogwoodmast/direct/store_reader.py
+++ b/src/dogwoodmast/direct/store_reader.py
@@ -15,6 +15,7 @@
 from dogwoodmast.errors import HistoryLost, PlatformError
 from dogwoodmast.events import Event, log_event
 from dogwoodmast.key_value import PolledStore
+from dogwoodmast.store_position import is_later_era
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -167,4 +168,6 @@
     async def _read_all(self, began_at: float) -> list[str]:
         snapshot = await self._store.read_prefix(ALL_KEYS)
         self._on_answer(began_at)
+        if is_later_era(snapshot.revision, self._directory.revision):
+            self._directory.on_outage(self._clock.monotonic())
         return self._directory.on_snapshot(snapshot, began_at)
