Give terms after a restore of the store higher fencing tokens

Cause: tokens were made from the revision of the coordinator's record, which a restore takes back. With positions alone they would exceed the numbers that JSON carries exactly.

Not solved: a build without eras that coordinates after a restore gives lower tokens, as before.

--- a/src/dogwoodmast/direct/leadership.py
+++ b/src/dogwoodmast/direct/leadership.py
@@ -14,8 +14,10 @@
 
 from dogwoodmast._wire import decode, encode
 from dogwoodmast.direct.directory import COORDINATOR_KEY
+from dogwoodmast.direct.fence_counter import FenceCounter
 from dogwoodmast.direct.messages import VmRecord
 from dogwoodmast.errors import (
+    FencesUsedUp,
     MalformedFrame,
     PlatformAnswerLost,
     PlatformError,
@@ -50,8 +52,8 @@
     """Period for which one entry VM is the coordinator."""
 
     epoch: int
-    """Store revision at which the coordinator's record was written; later
-    terms have greater epochs."""
+    """Store position at which the coordinator's record was written; later
+    terms have greater epochs, also after a restore of the store."""
     lease: int
     """Store lease that the coordinator's record is bound to."""
 
@@ -140,7 +142,8 @@
         """Try to become the coordinator.
 
         :return: The new term, or ``None`` if another VM is the coordinator.
-        :raises PlatformError: If a call to the store fails.
+        :raises PlatformError: If a call to the store fails, or there are no
+            more fencing tokens.
         """
         requested_at = self._clock.monotonic()
         lease = await self._store.grant_lease(LEASE_TTL)
@@ -148,6 +151,9 @@
         if revision is None:
             await self._store.revoke_lease(lease)
             return None
+        if not FenceCounter(revision).is_exact:
+            await self._store.revoke_lease(lease)
+            raise FencesUsedUp(revision)
         self._term = CoordinatorTerm(revision, lease)
         self._confirmed_again_from = float('-inf')
         self._on_confirmed(requested_at)
--- a/src/dogwoodmast/errors.py
+++ b/src/dogwoodmast/errors.py
@@ -103,6 +103,19 @@
         )
 
 
+@attrs.define
+class FencesUsedUp(PlatformError):
+    """The store has counted so far that fencing tokens are not exact."""
+
+    epoch: int
+    """Epoch whose tokens are too great for JSON numbers."""
+
+    @property
+    def message(self) -> str:
+        """One-sentence description of the failure."""
+        return f'fencing tokens of epoch {self.epoch} are too great'
+
+
 @attrs.define
 class PlatformRefused(PlatformError):
     """The platform responded with an error status.
