Wait for the end of all grants after a restore of the store

Cause: a coordinator took the restored record of assignments, or its absence, for the latest one, and granted the keys to the targets named there, while others still held them.

A record that is missing or was written before the restore tells nothing now: the keys wait until no earlier grant can last. The tables of the earlier era stay in use meanwhile, so that holders serve their keys as long as they hold them. A record that took another one's place by a late write is replaced under the condition that this VM still coordinates, in place of failing for good.

Ruled out: renewing what the same VM had granted before; its lease may have been revoked and another VM may have moved keys since. Asking targets to release all keys: grants that are carried out late would need fencing grants, which may give a key a second holder.

--- a/src/dogwoodmast/direct/grant_state_machine.py
+++ b/src/dogwoodmast/direct/grant_state_machine.py
@@ -5,7 +5,8 @@
 Its safety rests on these rules:
 
 - An assignment is written to the store before the target is granted keys, so
-  that a later coordinator knows every target that may hold them.
+  that a later coordinator knows every target that may hold them.  After a
+  restore of the store it does not, and waits for the end of all grants.
 - Keys for which a grant was sent are free only after the target has
   acknowledged a release, after the maximum time for which any grant to it can
   last, or when the target's process is known to have ended.
--- a/src/dogwoodmast/direct/shard_coordinator.py
+++ b/src/dogwoodmast/direct/shard_coordinator.py
@@ -22,7 +22,7 @@
 from dogwoodmast.direct.key_loads import KeyLoads
 from dogwoodmast.direct.leadership import LEASE_TTL
 from dogwoodmast.direct.messages import ShardRecord
-from dogwoodmast.direct.shard import Phase
+from dogwoodmast.direct.shard import Phase, Shard
 from dogwoodmast.direct.shard_planner import (
     INITIAL_SHARDS_PER_TARGET,
     ShardPlanner,
@@ -45,6 +45,7 @@
 from dogwoodmast.errors import MalformedFrame, PlatformAnswerLost, PlatformError
 from dogwoodmast.events import Event, log_event
 from dogwoodmast.key_value import MISSING_REVISION, Expectation, Put
+from dogwoodmast.store_position import era_of, is_later_era
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -62,7 +63,6 @@
         ShardVersion,
     )
     from dogwoodmast.direct.reach import ReachTracker
-    from dogwoodmast.direct.shard import Shard
     from dogwoodmast.direct.statement_book import StatementBook
     from dogwoodmast.key_value import PolledStore
 
@@ -146,27 +146,38 @@
     async def load(self) -> None:
         """Restore the shards that an earlier term has stored, if any.
 
-        If the record cannot be read, any target may hold any key, so that all
-        keys wait until the grants of earlier terms have expired.
+        If the record cannot be read, or is missing or older than a restore of
+        the store, any target may hold any key, so that all keys wait until the
+        grants of earlier terms have expired.  After a restore the tables of
+        the earlier era stay in use meanwhile, since targets refuse requests for
+        keys that they do not hold.
 
         :raises PlatformError: If a call to the store fails.
         """
         found = (await self._store.read(self.key)).first
-        if found is None:
-            return
-        self._record_revision = found.revision
+        record = None
+        if found is not None:
+            self._record_revision = found.revision
+            record = _read_record(self.key, found.value)
+        era = era_of(self._state_machine.epoch)
+        is_restored = record is None or era_of(record.epoch) < era
+        is_restored = is_restored and era > 0
         now = self._clock.monotonic()
-        record = _read_record(self.key, found.value)
-        if record is None:
-            until = (
-                now
-                + EARLIER_TERM_GRANT_WINDOW
-                + self._state_machine.max_hold_time
+        if record is not None and not is_restored:
+            self._state_machine.restore(record, now, EARLIER_TERM_GRANT_WINDOW)
+        elif found is not None or is_restored:
+            held_until = now + EARLIER_TERM_GRANT_WINDOW
+            held_until += self._state_machine.max_hold_time
+            self._state_machine.shards = _unknown_shards(held_until, record)
+        if is_restored:
+            log_event(
+                Event.HOLDERS_UNKNOWN,
+                service=self._state_machine.service,
+                era=era,
+                seconds=round(held_until - now, 3),
             )
-            self._state_machine.shards = _unknown_shards(until)
         else:
-            self._state_machine.restore(record, now, EARLIER_TERM_GRANT_WINDOW)
-        self._log_changes(self._state_machine.shards)
+            self._log_changes(self._state_machine.shards)
 
     def on_targets(
         self,
@@ -366,11 +377,16 @@
         return await self._confirm_written(content)
 
     async def _confirm_written(self, content: bytes) -> bool:
+        """Tell whether a record is stored; if not, expect what is instead.
+
+        The store rejects the write if this VM is not the coordinator, so that
+        nothing newer is replaced.
+        """
         found = (await self._store.read(self.key)).first
+        self._record_revision = found.revision if found else MISSING_REVISION
         if found is None or found.value != content:
             return False
-        self._record_revision = found.revision
-        return True
+        return not is_later_era(found.revision, self._state_machine.epoch)
 
     def _publish(self) -> None:
         for freed in self._state_machine.freed.drain():
@@ -407,14 +423,19 @@
     return None
 
 
-def _unknown_shards(held_until: float) -> list[Shard]:
+def _unknown_shards(
+    held_until: float, record: ShardRecord | None
+) -> list[Shard]:
     """Make shards whose holders are not known.
 
     :param held_until: Monotonic time at which no target holds them any more,
         in seconds.
+    :param record: Record that tells how the keys were divided, if there is one.
     :return: Shards that become free then.
     """
     shards = divide_keys(UNKNOWN_SHARDS)
+    if record is not None:
+        shards = [Shard(one.first, one.last) for one in record.assignments]
     for shard in shards:
         shard.phase = Phase.EXPIRING
         shard.held_until = held_until
--- a/tests/restoring_store.py
+++ b/tests/restoring_store.py
@@ -61,6 +61,31 @@
             dict(content.leases),
         )
 
+    def restore(self, content: StoreContent) -> None:
+        """Return a store to this copy.
+
+        :param content: Content of the store.
+        """
+        content.revision = self.revision
+        content.items = {
+            key: attrs.evolve(one) for key, one in self.items.items()
+        }
+        content.events = list(self.events)
+        content.leases = dict(self.leases)
+
+    def write_again(self, restored: StoreCopy, content: StoreContent) -> None:
+        """Write what operators and targets had written when this was made.
+
+        :param restored: Copy that the store was restored from.
+        :param content: Content of the store.
+        """
+        for key, text in self.foreign.items():
+            if restored.foreign.get(key) != text:
+                content.write([{'key': key, 'value': text}], [])
+        gone = restored.foreign.keys() - self.foreign.keys()
+        if gone:
+            content.write([], sorted(gone))
+
     @property
     def foreign(self) -> dict[str, str]:
         """Values that operators and targets have written, by key."""
@@ -104,30 +129,20 @@
             the copy lacks of theirs.
         """
         latest = StoreCopy.of(self.content)
-        self.era = str(int(self.era or b'0') + 1).encode()
-        content = self.content
-        content.revision = copy.revision
-        content.items = {
-            key: attrs.evolve(one) for key, one in copy.items.items()
-        }
-        content.events = list(copy.events)
-        content.leases = dict(copy.leases)
+        self.begin_era()
+        copy.restore(self.content)
         if writes_again:
-            self._write_again(copy, latest)
+            latest.write_again(copy, self.content)
+
+    def begin_era(self) -> None:
+        """Name the next era from now on."""
+        self.era = str(int(self.era or b'0') + 1).encode()
 
     async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         if int(query['after']) > self.content.revision:
             return 410, {}
         return await super()._watch(query)
 
-    def _write_again(self, copy: StoreCopy, latest: StoreCopy) -> None:
-        for key, text in latest.foreign.items():
-            if copy.foreign.get(key) != text:
-                self.content.write([{'key': key, 'value': text}], [])
-        gone = copy.foreign.keys() - latest.foreign.keys()
-        if gone:
-            self.content.write([], sorted(gone))
-
 
 @asynccontextmanager
 async def restorable(
