Act on no lease from before a restore of the store

Callers saw nothing of it yet: a VM whose registration a restore had undone was not listed until it renewed its lease, up to 4 s later, and a coordinator whose copy was already of the new era acted until its next renewal.

Now a VM registers again within half a second of its copy's new era, and a coordinator ends its term as soon as its copy is of a later one. A VM that has not seen the new era acts until its lease can have expired; the next coordinator waits that long.

--- a/src/dogwoodmast/direct/coordinator.py
+++ b/src/dogwoodmast/direct/coordinator.py
@@ -25,6 +25,7 @@
 from dogwoodmast.events import Event, log_event
 from dogwoodmast.key_value import PolledStore
 from dogwoodmast.link_pool import LinkPool
+from dogwoodmast.store_position import is_later_era
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -197,6 +198,11 @@
             was_impaired = self._dependencies.reach.is_impaired
             resign_after = float('-inf')
             while self._leadership.term is term:
+                if is_later_era(
+                    self._dependencies.directory.revision, term.epoch
+                ):
+                    self._leadership.abandon(term)
+                    continue
                 now = self._dependencies.clock.monotonic()
                 if now >= resign_after and self._should_resign(
                     was_impaired=was_impaired
--- a/src/dogwoodmast/direct/leadership.py
+++ b/src/dogwoodmast/direct/leadership.py
@@ -226,6 +226,14 @@
             if self._term is not None:
                 await self._revoke(self._term)
 
+    def abandon(self, term: CoordinatorTerm) -> None:
+        """End a term whose lease is known to be void.
+
+        :param term: Term of an era before the latest restore of the store.
+        """
+        if self._term is term:
+            self._end_term()
+
     async def _revoke(self, term: CoordinatorTerm) -> None:
         confirmed_again_from = self._confirmed_again_from
         self._confirmed_again_from = float('inf')
--- a/src/dogwoodmast/direct/vm_registration.py
+++ b/src/dogwoodmast/direct/vm_registration.py
@@ -16,6 +16,7 @@
 from dogwoodmast.events import Event, log_event
 from dogwoodmast.frames import PROTOCOL_VERSION, Hello
 from dogwoodmast.key_value import NO_LEASE, Put
+from dogwoodmast.store_position import era_of
 
 if TYPE_CHECKING:
     from dogwoodmast.direct.settings import DirectSettings
@@ -26,6 +27,9 @@
 skip a VM that does not answer long before it expires."""
 RENEWAL_INTERVAL = 4.0
 """Pause between renewals, in seconds; a third of the time to live."""
+RESTORE_CHECK_INTERVAL = 0.5
+"""Pause between checks whether the store was restored, in seconds; other VMs
+keep a missing record for two seconds."""
 INITIAL_BACKOFF = 0.25
 """Upper bound of the first pause after a failure, in seconds."""
 MAX_BACKOFF = 1.0
@@ -119,7 +123,7 @@
                 await anyio.sleep(backoff.next_delay())
                 continue
             backoff.reset()
-            await anyio.sleep(RENEWAL_INTERVAL)
+            await self._await_renewal()
 
     async def leave(self) -> None:
         """Remove the record from the store for good.
@@ -138,6 +142,19 @@
             else:
                 self._lease = NO_LEASE
 
+    async def _await_renewal(self) -> None:
+        """Wait until the record is to be renewed, or may have been lost."""
+        era = self._era
+        for _ in range(round(RENEWAL_INTERVAL / RESTORE_CHECK_INTERVAL)):
+            await anyio.sleep(RESTORE_CHECK_INTERVAL)
+            if self._era != era:
+                break
+
+    @property
+    def _era(self) -> int:
+        """Era of the copy of the store."""
+        return era_of(self._directory.revision) if self._directory else 0
+
     async def _renew_or_register(self) -> None:
         lease = self._lease
         if lease == NO_LEASE or not await self._store.renew_lease(lease):
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -22,6 +22,7 @@
 from dogwoodmast.direct.messages import VmRecord
 from dogwoodmast.direct.shard_coordinator import ShardCoordinator
 from dogwoodmast.key_value import Snapshot
+from dogwoodmast.store_position import make_position
 
 if TYPE_CHECKING:
     from dogwoodmast.direct.directory import Directory
@@ -44,6 +45,8 @@
     """Number of attempts to give up the role."""
     revision: int = 5
     """Revision of the copy of the store."""
+    abandoned: list[CoordinatorTerm] = attrs.field(factory=list)
+    """Terms that were ended without a call to the store."""
     updates: int = 0
     """Number of times at which the listed targets were read."""
     is_impaired: bool = False
@@ -67,6 +70,12 @@
         self.resignations += 1
         await anyio.sleep(TICK_INTERVAL / 10)
 
+    def abandon(self, term: CoordinatorTerm) -> None:
+        """End the term."""
+        assert term is self.term
+        self.abandoned.append(term)
+        self.term = None
+
     async def read(self, _key: str) -> Snapshot:
         """Read a record that is not there."""
         return Snapshot(5, ())
@@ -155,6 +164,25 @@
     assert 0 < role.resignations <= most
 
 
+async def test_term_ends_when_the_copy_is_of_a_later_era() -> None:
+    """Another VM has told of a restore, which has ended the lease.
+
+    Guards against calls on behalf of a term that the store does not know.
+    """
+    role = LastingRole()
+    coordinator = make_coordinator(role)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(coordinator.run)
+        with anyio.fail_after(3 * VACANCY_CHECK_INTERVAL):
+            while role.term is None:
+                await anyio.sleep(TICK_INTERVAL)
+        assert not role.abandoned
+        role.revision = make_position(1, 3)
+        await anyio.sleep(2 * TICK_INTERVAL)
+        tasks.cancel_scope.cancel()
+    assert role.abandoned == [CoordinatorTerm(5, 7)]
+
+
 async def test_vm_that_stops_does_not_take_the_role() -> None:
     """Guards against a role that is held until the process ends."""
     role = RoleOfStoppingVm()
