Restore the store from a copy in the soak

The stand-in of the store goes away for up to 1.5 s and comes back from a copy that is 0.5 to 5 s old, also twice, beside all other faults.

--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -21,6 +21,7 @@
     CutInjection,
     LeaseInjection,
     PathInjection,
+    RestoreInjection,
     ScheduledFault,
     StoreInjection,
     TargetInjection,
@@ -36,6 +37,8 @@
     from soak_environment import SoakEnvironment
     from soak_target import Observations, SoakTarget
 
+STORE_FAULTS = StoreInjection | LeaseInjection | RestoreInjection
+"""Faults of the store."""
 APPLY_TIME = 2.0
 """Time after a write of the configuration within which it is in force, in
 seconds; the platform's bound."""
@@ -161,7 +164,7 @@
     outages = [
         (began + one.start, began + one.start + one.duration + CONTACT_TIME)
         for one in plan
-        if isinstance(one.injection, StoreInjection | LeaseInjection)
+        if isinstance(one.injection, STORE_FAULTS)
     ]
     found = []
     for version, call in version_calls:
@@ -246,7 +249,7 @@
     :param observations: Observations of the targets.
     :return: One violation for each late request.
     """
-    disrupting = StoreInjection | LeaseInjection | PathInjection | VmInjection
+    disrupting = STORE_FAULTS | PathInjection | VmInjection
     if any(isinstance(scheduled.injection, disrupting) for scheduled in plan):
         return []
     return list(observations.late_requests)
@@ -296,7 +299,7 @@
     :param cold: Targets, and the times between which they were cold.
     :return: One violation for each target with too many requests in a second.
     """
-    exempt = StoreInjection | LeaseInjection | PathInjection | CutInjection
+    exempt = STORE_FAULTS | PathInjection | CutInjection
     if _vms_with(plan, {VmFault.FREEZE}) or any(
         isinstance(scheduled.injection, exempt) for scheduled in plan
     ):
@@ -338,8 +341,7 @@
     ]
     cut_vms = {vm for _, vm in cuts}
     if len(cut_vms) >= VM_COUNT or any(
-        isinstance(one.injection, VmInjection | StoreInjection | LeaseInjection)
-        for one in plan
+        isinstance(one.injection, VmInjection | STORE_FAULTS) for one in plan
     ):
         return []
     found = []
--- a/tests/soak_environment.py
+++ b/tests/soak_environment.py
@@ -29,7 +29,8 @@
 from faulty_path import FaultyPath, PathState
 from fleet import free_addresses
 from history import Violation
-from metadata_store import StoreContent, StoreFault, StoreServer, serving
+from metadata_store import StoreContent, StoreFault, serving
+from restoring_store import RestoringStore, StoreCopy
 from soak_callers import SoakCallers
 from soak_checks import WARMUP_OVERRUN, WARMUP_SLACK, check_run
 from soak_plan import (
@@ -42,6 +43,7 @@
     LeaseInjection,
     OddEntryInjection,
     PathInjection,
+    RestoreInjection,
     ScheduledFault,
     SoakTargetFault,
     StoreInjection,
@@ -89,6 +91,11 @@
 """Time for which targets of the services are cold, in seconds."""
 HEARTBEAT = 0.5
 """Time between two listings of a cold target, in seconds."""
+COPY_INTERVAL = 0.2
+"""Time between two copies of the store, in seconds."""
+MAX_AWAY_TIME = 1.5
+"""Longest time for which the store is away before a restore, in seconds; the
+platform says a moment."""
 RECOVERY_TIMEOUT = 15.0
 """Time after the last fault within which every request must be served again, in
 seconds; the platform's bound."""
@@ -136,7 +143,7 @@
     """Settings file; the log is written next to it."""
     callers: Address
     """Address for callers."""
-    store: StoreServer
+    store: RestoringStore
     """Server of the store that only this VM uses."""
     cuts: list[CutPath] = attrs.field(factory=list)
     """Paths from this VM to all targets."""
@@ -231,6 +238,9 @@
     """Version of the configuration in the store."""
     written: dict[int, float] = attrs.field(factory=dict)
     """Monotonic time in seconds at which each version was written."""
+    copies: list[tuple[float, StoreCopy]] = attrs.field(factory=list)
+    """Copies of the store, with the monotonic times in seconds at which they
+    were made."""
     addresses: list[Address] = attrs.field(
         factory=lambda: free_addresses(ADDRESS_COUNT)
     )
@@ -268,6 +278,9 @@
                 await stack.enter_async_context(cut.serving())
             apps.extend((vm.store, vm.store.address) for vm in self.vms)
             await stack.enter_async_context(serving(*apps))
+            tasks = await stack.enter_async_context(anyio.create_task_group())
+            stack.callback(tasks.cancel_scope.cancel)
+            tasks.start_soon(self.keep_copies)
             for vm in self.vms:
                 await vm.start()
                 stack.push_async_callback(vm.stop, signal.SIGKILL)
@@ -373,6 +386,8 @@
         self, scheduled: ScheduledFault, callers: SoakCallers
     ) -> None:
         match scheduled.injection:
+            case RestoreInjection(age):
+                await self._restore_store(age, scheduled.duration)
             case LeaseInjection():
                 await self._revoke_coordinator(scheduled.duration)
             case OddEntryInjection(entry):
@@ -439,6 +454,30 @@
         for vm in vms:
             vm.store.fault = StoreFault.NONE
 
+    async def _restore_store(self, age: float, duration: float) -> None:
+        """Let the store be away, and come back from a copy.
+
+        :param age: Age of the copy when the store leaves, in seconds.
+        :param duration: Time for which it is away, in seconds.
+        """
+        made_until = time.monotonic() - age
+        older = [copy for at, copy in self.copies if at <= made_until]
+        if not older:
+            return
+        away = min(duration, MAX_AWAY_TIME)
+        await _inject_store_fault(self.vms, StoreFault.SILENT, away)
+        latest = StoreCopy.of(self.content)
+        for vm in self.vms:
+            vm.store.begin_era()
+        older[-1].restore(self.content)
+        latest.write_again(older[-1], self.content)
+
+    async def keep_copies(self) -> None:
+        """Copy the store again and again until cancelled."""
+        while True:
+            self.copies.append((time.monotonic(), StoreCopy.of(self.content)))
+            await anyio.sleep(COPY_INTERVAL)
+
     async def _leave_entry(self, entry: OddEntry, duration: float) -> None:
         """Keep an odd entry for each service among those of the targets.
 
@@ -577,7 +616,7 @@
                     slack=WARMUP_SLACK,
                 )
             )
-            server = StoreServer(self.content, address=store)
+            server = RestoringStore(self.content, address=store)
             cuts = [
                 CutPath(self.addresses.pop(), path_to_target.listen)
                 for path_to_target in self.paths
@@ -663,7 +702,7 @@
             subject = type(injection), number
         case AnswerInjection():
             subject = AnswerInjection
-        case StoreInjection() | LeaseInjection():
+        case StoreInjection() | LeaseInjection() | RestoreInjection():
             subject = StoreInjection
         case OddEntryInjection(entry):
             subject = entry
--- a/tests/soak_plan.py
+++ b/tests/soak_plan.py
@@ -25,6 +25,8 @@
 MAX_DURATION = 5.0
 """Longest duration of a fault, in seconds; the platform's outages usually last
 no longer."""
+MAX_COPY_AGE = 10
+"""Greatest age of the copy that the store is restored from, in half seconds."""
 MAX_FAULTS = 2 * VM_COUNT
 """Maximum number of faults in a plan."""
 
@@ -136,6 +138,14 @@
     """
 
 
+@attrs.frozen
+class RestoreInjection:
+    """Restore of the store from a copy, after it was away for a moment."""
+
+    copy_age: float
+    """Age of the copy when the store leaves, in seconds."""
+
+
 @attrs.frozen
 class OddEntryInjection:
     """Presence of another writer's entry among those of the targets."""
@@ -157,6 +167,7 @@
     | CutInjection
     | StoreInjection
     | LeaseInjection
+    | RestoreInjection
     | OddEntryInjection
     | ConfigurationChange
 )
@@ -206,6 +217,9 @@
         ),
     ),
     st.builds(LeaseInjection),
+    st.builds(
+        RestoreInjection, st.integers(1, MAX_COPY_AGE).map(lambda age: age / 2)
+    ),
     st.builds(OddEntryInjection, st.sampled_from(OddEntry)),
     st.builds(ConfigurationChange),
 )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -43,6 +43,7 @@
     Injection,
     LeaseInjection,
     OddEntryInjection,
+    RestoreInjection,
     ScheduledFault,
     SoakTargetFault,
     StoreInjection,
@@ -137,12 +138,32 @@
             ],
             id='revoked lease and restarts',
         ),
+        pytest.param(
+            [
+                _at(2.5, 0.1, ConfigurationChange()),
+                _at(3, 1, RestoreInjection(2)),
+                _at(3.2, 0.1, ConfigurationChange()),
+                _at(4.5, 0.1, ConfigurationChange()),
+                _at(4.5, 1, TargetInjection(5, SoakTargetFault.DRAIN)),
+            ],
+            id='restored store and changes',
+        ),
+        pytest.param(
+            [
+                _at(1, 1, TargetInjection(1, SoakTargetFault.RESTART)),
+                _at(1.5, 1, VmInjection(0, VmFault.STOP)),
+                _at(2.5, 1, TargetInjection(0, SoakTargetFault.DRAIN)),
+                _at(3, 1, RestoreInjection(3)),
+                _at(5, 0.5, RestoreInjection(1)),
+            ],
+            id='store restored twice while keys move',
+        ),
     ],
 )
 def test_answers_entries_and_leases_break_a_promise(
     plan: Sequence[ScheduledFault], tmp_path: Path
 ) -> None:
-    """Answers that belong to no request, odd entries, restarts, lost leases."""
+    """Odd answers and entries, restarts, lost leases and restored stores."""
     broken = anyio.run(run_plan, plan, tmp_path)
     assert not broken, _first_violations(broken)
 
