Bound the memory that responses without end take

Another operator saw: a target sent bytes without end, and the VM that had called it ran out of memory, with which the requests of all its other callers ended.

Cause, shown by a test: a connection accepts up to 0.4 MB of head and buffers up to 0.3 MB of body, but counts their bytes only. Besides, bytes on an idle connection, such as one that a probe has opened, and bodies of answers to grants and releases were read and dropped without end, and documents of the store were kept without limit.

Headers now count with what they take, small parts of a body are joined, an idle connection on which bytes arrive is closed, a body that nobody wants is read up to 1 MB, and a document of the store up to 16 MB.

Ruled out: relays and requests as such; other entry VMs send whole responses, and bodies of requests pass the same account of held bytes as before.

--- a/src/dogwoodmast/direct/json_client.py
+++ b/src/dogwoodmast/direct/json_client.py
@@ -33,6 +33,9 @@
 LONGEST_CALL_TIME = 5.0
 """Time allowed for a whole call whose body keeps arriving, in seconds; a
 megabyte takes the thinnest links of the platform contract two."""
+MAX_DOCUMENT_BYTES = 16_777_216
+"""Size of the largest document that is read, in bytes; a page of the platform
+contract has about 1 MB."""
 STALLED_BODY_TIME = 0.3
 """Time without a byte after which a response no longer counts as arriving, in
 seconds; longer than the gaps between packets on a link that is full."""
@@ -135,7 +138,7 @@
         connection = await self._pool.acquire()
         time_limit = scope.deadline - anyio.current_time()
         latest = anyio.current_time() + LONGEST_CALL_TIME
-        chunks = []
+        content = bytearray()
         async with AsyncExitStack() as stack:
             stack.push_async_callback(self._pool.release, connection)
             head = await connection.send_request(request)
@@ -143,8 +146,10 @@
             async for chunk in connection.read_body():
                 arrival.latest = anyio.current_time()
                 scope.deadline = min(anyio.current_time() + time_limit, latest)
-                chunks.append(chunk)
-        return JsonResponse(head.status, head.headers, b''.join(chunks))
+                content += chunk
+                if len(content) > MAX_DOCUMENT_BYTES:
+                    raise ExchangeAborted('store', 'document has no end')
+        return JsonResponse(head.status, head.headers, bytes(content))
 
     @contextmanager
     def _noting_arrival(self) -> Iterator[_Arrival]:
--- a/src/dogwoodmast/direct/target_connection.py
+++ b/src/dogwoodmast/direct/target_connection.py
@@ -50,11 +50,17 @@
 """Bytes of framing that are accepted for each byte of the body, as many as
 chunks of one byte with short extensions take."""
 
+BYTES_PER_HEADER = 128
+"""Memory that a header takes beside its name and its value, in bytes."""
+SMALL_CHUNK_BYTES = 1024
+"""Size below which parts of a body are joined, in bytes; as objects of their
+own, they would take many times the memory of their content."""
+
 MAX_EXTRA_RESPONSES = 4
 """Number of responses to other requests that are accepted after one request."""
 MAX_DISCARDED_BYTES = 1_048_576
-"""Size up to which the body of a response to another request is read, in
-bytes; twice that of the largest document in the platform contract."""
+"""Size up to which a body that nobody wants is read, in bytes; twice that of
+the largest document in the platform contract."""
 
 MAX_LINE_END_BYTES = 16
 """Line ends at the end of received bytes that are parsed one by one, to tell
@@ -202,11 +208,7 @@
         stream = self._stream
         assert stream is not None
         self._must_close = True
-        size = 0
-        async for chunk in self._read_chunks(stream):
-            size += len(chunk)
-            if size > MAX_DISCARDED_BYTES:
-                raise ExchangeAborted(self._name, 'too much to discard')
+        await self._discard(self._read_chunks(stream))
         stream.skip()
         return await self._receive_head(stream)
 
@@ -247,9 +249,17 @@
     async def discard_body(self) -> None:
         """Read the body of the response and discard it.
 
-        :raises ExchangeAborted: If the connection broke first.
+        :raises ExchangeAborted: If the connection broke first, or there was too
+            much to discard.
         """
-        await _discard(self.read_body())
+        await self._discard(self.read_body())
+
+    async def _discard(self, chunks: AsyncIterator[bytes]) -> None:
+        size = 0
+        async for chunk in chunks:
+            size += len(chunk)
+            if size > MAX_DISCARDED_BYTES:
+                raise ExchangeAborted(self._name, 'too much to discard')
 
     async def aclose(self) -> None:
         """Close the connection after unsent bytes have been sent."""
@@ -281,8 +291,10 @@
         :param data: Received bytes.
         """
         if self._stream is None:
-            # Bytes after a complete response belong to no request.
+            # Bytes after a complete response belong to no request, and may
+            # have no end.
             self._must_close = True
+            self._transport.close()
             return
         self._stream.feed(data)
         if self._stream.failure:
@@ -320,6 +332,25 @@
     head: ResponseHead | None = None
     chunks: deque[bytes] = attrs.field(factory=deque)
     is_complete: bool = False
+    _small: bytearray = attrs.field(factory=bytearray)
+
+    def add(self, body: bytes) -> None:
+        """Append a part of the body, joined with others if it is small."""
+        if len(body) < SMALL_CHUNK_BYTES:
+            self._small += body
+        else:
+            self.flush()
+            self.chunks.append(body)
+
+    def flush(self) -> None:
+        """Let small parts that have been joined be read."""
+        if self._small:
+            self.chunks.append(bytes(self._small))
+            self._small.clear()
+
+
+class _HeadTooLong(Exception):
+    """The headers of a response take too much memory."""
 
 
 class _ResponseStream:
@@ -338,6 +369,7 @@
         self._headers: RawHeaders = []
         self._waiter: asyncio.Future[None] | None = None
         self._size = 0
+        self._head_size = 0
         self._received = 0
         self._body_size = 0
         self._is_paused = False
@@ -394,6 +426,8 @@
         except httptools.HttpParserError as error:
             self.fail(type(error).__name__)
             self.can_reuse = False
+        for response in self._responses:
+            response.flush()
         must_pause = self._size > READ_AHEAD_BYTES and not self.failure
         if must_pause and not self._is_paused:
             self._is_paused = True
@@ -442,7 +476,14 @@
         self._wake()
 
     def on_header(self, name: bytes, field: bytes) -> None:
-        """Store a header."""
+        """Store a header, unless all of them take too much memory.
+
+        :raises _HeadTooLong: If they do, which the parser passes on.
+        """
+        self._head_size += len(name) + len(field) + BYTES_PER_HEADER
+        if self._head_size > MAX_OVERHEAD_BYTES:
+            self.fail('response head is too long')
+            raise _HeadTooLong
         self._headers.append((name.lower(), field.rstrip(b' \t')))
 
     def on_headers_complete(self) -> None:
@@ -468,7 +509,7 @@
         """Append a chunk of the body."""
         if self._last.is_complete:
             return
-        self._last.chunks.append(body)
+        self._last.add(body)
         self._size += len(body)
         self._body_size += len(body)
 
@@ -498,10 +539,6 @@
             waiter.set_result(None)
 
 
-async def _discard(chunks: AsyncIterator[bytes]) -> int:
-    return sum([len(chunk) async for chunk in chunks])
-
-
 def _keep_alive_timeout(headers: RawHeaders) -> float | None:
     for name, field in headers:
         if name == b'keep-alive':
--- a/tests/test_json_client.py
+++ b/tests/test_json_client.py
@@ -9,7 +9,7 @@
 
 from direct_fleet import free_address
 from dogwoodmast.clock import SystemClock
-from dogwoodmast.direct.json_client import JsonClient
+from dogwoodmast.direct.json_client import MAX_DOCUMENT_BYTES, JsonClient
 from dogwoodmast.errors import PlatformAnswerLost
 from dogwoodmast.platform.store import MetadataStore
 
@@ -150,3 +150,30 @@
             await store.read('op/b')
         await store.aclose()
         tasks.cancel_scope.cancel()
+
+
+async def test_document_without_end_is_not_read_on() -> None:
+    """Guards against a process that keeps all of it until the time is over."""
+
+    async def accept(stream: anyio.abc.SocketStream) -> None:
+        await stream.receive()
+        await stream.send(b'HTTP/1.1 200 OK\r\n\r\n')
+        with suppress(anyio.BrokenResourceError):
+            while True:
+                await stream.send(piece)
+                sent.append(len(piece))
+
+    piece = b'x' * 262_144
+    sent: list[int] = []
+    address = free_address()
+    client = JsonClient(address, SystemClock())
+    listener = await anyio.create_tcp_listener(
+        local_host=address.host, local_port=address.port
+    )
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, accept)
+        with pytest.raises(PlatformAnswerLost):
+            await client.call('GET', '/', timeout=60)
+        await client.aclose()
+        tasks.cancel_scope.cancel()
+    assert sum(sent) <= 2 * MAX_DOCUMENT_BYTES
