Count a grant as possibly delayed if its answer may be another's

Cause: a target repeats an answer where that to the next grant is expected, and carries that grant out seconds later. The answer counted, and the release after it too, although the grant could follow the release.

An answer that is not proven to be the grant's own now leaves the grant possibly delayed, so that a move gives the holder another token over a new connection before it asks for the release.

Cost: a grant and a new connection for each move.

--- a/src/dogwoodmast/direct/grant_state_machine.py
+++ b/src/dogwoodmast/direct/grant_state_machine.py
@@ -15,7 +15,8 @@
   the process before; with a token of its own that is a new grant.
 - A release counts only if no delayed grant can be applied after it.  If one
   might be, another grant is acknowledged first; from then on the target rejects
-  lower tokens.
+  lower tokens.  One might be unless the answer to the latest grant is proven to
+  be its own.
 - A listing says that a holder has ended only if it shows a later start.  The
   process that it shows may hold the keys instead, and has to release them.
 
@@ -302,7 +303,8 @@
         :param sent: Monotonic time in seconds at which it was sent.
         :param now: Monotonic time in seconds.
         :param is_proven: Whether the answer cannot be that to another call.
-            Only then are earlier grants known to be rejected from now on.
+            Only then are earlier grants known to be rejected from now on, and
+            this one to have been applied.
         """
         shard = call.shard
         shard.call_in_flight = False
@@ -313,8 +315,11 @@
             shard.held_until = max(shard.held_until, now + self.max_hold_time)
         match answer:
             case GrantAnswer.ACCEPTED:
-                if is_proven:
-                    shard.delayed_grant_until = DISTANT_PAST
+                # If the answer was that to another call, this one may yet be
+                # applied.
+                shard.delayed_grant_until = (
+                    DISTANT_PAST if is_proven else now + self.max_hold_time
+                )
                 self._on_accepted(shard, sent)
             case GrantAnswer.STALE_FENCE:
                 # A coordinator of a later epoch has granted the keys.
--- a/tests/grant_simulation.py
+++ b/tests/grant_simulation.py
@@ -389,18 +389,25 @@
             )
         self._report(pending, GrantAnswer.UNKNOWN)
 
-    def answer_by_another(self, pending: PendingCall) -> None:
+    def answer_by_another(
+        self, pending: PendingCall, *, is_late: bool = False
+    ) -> None:
         """Report the answer to an earlier call as that to a grant.
 
         The target repeats it when it reads the grant.
 
         :param pending: Grant call.
+        :param is_late: Whether the target applies the grant at a later time.
         """
         self.pending.remove(pending)
         incarnation = self.find_incarnation(pending.call)
         call = pending.call
         assert isinstance(call, GrantCall)
-        if incarnation.is_running:
+        if incarnation.is_running and is_late:
+            self.delayed_grants.append(
+                DelayedGrant(incarnation, call, pending.keys, self.now)
+            )
+        elif incarnation.is_running:
             self.apply(incarnation, call, pending.keys, self.now)
         if self.now < pending.term.valid_until:
             pending.term.machine.on_grant(
--- a/tests/test_grant_state_machine.py
+++ b/tests/test_grant_state_machine.py
@@ -186,18 +186,19 @@
     """Schedules with restarts, old listings and answers to other calls."""
 
     @precondition(lambda self: self.simulation.pending)
-    @rule(choice=CHOICES)
-    def answer_by_another(self, choice: int) -> None:
+    @rule(choice=CHOICES, is_late=st.booleans())
+    def answer_by_another(self, choice: int, is_late: bool) -> None:
         """Take the answer to an earlier call for that to a grant.
 
         A call that must be certain is made on a new connection, and has no
         answer but its own.
 
         :param choice: Selects the call.
+        :param is_late: Whether the grant is applied later.
         """
         pending = self.pick_call(choice)
         if isinstance(pending.call, GrantCall) and not pending.call.is_fencing:
-            self.simulation.answer_by_another(pending)
+            self.simulation.answer_by_another(pending, is_late=is_late)
 
     @rule(name=st.sampled_from(NAMES))
     def restart_unlisted(self, name: str) -> None:
@@ -427,6 +428,30 @@
     }
 
 
+def test_late_grant_behind_a_repeated_answer_takes_no_keys_back() -> None:
+    """A target applies a renewal late, and has repeated an answer before it.
+
+    Guards against a release that counts although the renewal may follow it.
+    """
+    simulation = make_started_simulation()
+    simulation.now += HOLD / RENEWALS_PER_HOLD
+    simulation.step(lambda usable: usable[0])
+    assert simulation.pending
+    for renewal in tuple(simulation.pending):
+        simulation.answer_by_another(renewal, is_late=True)
+    simulation.start_target('t2')
+    simulation.delist('t1')
+    for _ in range(5):
+        simulation.step(lambda usable: usable[-1])
+        for call in tuple(simulation.pending):
+            simulation.answer(call)
+    for delayed in tuple(simulation.delayed_grants):
+        simulation.apply_delayed_grant(delayed)
+    simulation.check_exclusive_holds()
+    shards = simulation.current_term.machine.shards
+    assert {one.target for one in shards} == {'t2'}
+
+
 def test_keys_of_a_zone_that_returns_are_served_at_once() -> None:
     """Targets of a zone that was cut off with the coordinator answer again.
 
