Tell in the log whether keys became free by the answer to a probe

A release that got no answer is followed by a probe, which is a second release. The log had the same reason for the answers to both, so that a move that was decided on the second one could not be found. No decision changes.

--- a/src/dogwoodmast/direct/freed_keys.py
+++ b/src/dogwoodmast/direct/freed_keys.py
@@ -16,6 +16,8 @@
 
     RELEASED = 'released'
     """The target acknowledged a release."""
+    PROBED = 'probed'
+    """The target acknowledged a probe, after a release that had no answer."""
     HOLD_EXPIRED = 'hold_expired'
     """The maximum time for which any grant can last has passed."""
     ADDRESS_REUSED = 'address_reused'
--- a/src/dogwoodmast/direct/grant_state_machine.py
+++ b/src/dogwoodmast/direct/grant_state_machine.py
@@ -352,7 +352,12 @@
             case GrantAnswer.WRONG_TARGET:
                 self._free(shard, FreedBecause.ADDRESS_REUSED)
             case GrantAnswer.ACCEPTED if now >= shard.delayed_grant_until:
-                self._free(shard, FreedBecause.RELEASED)
+                self._free(
+                    shard,
+                    FreedBecause.PROBED
+                    if call.is_probe
+                    else FreedBecause.RELEASED,
+                )
                 shard.handover = handover
             case GrantAnswer.ACCEPTED if call.is_probe:
                 # The target answers again: a higher fencing token makes it
