Take no answer to a probe for the end of a target's work

Now a release without an answer stays open until the target has accepted a further grant, whose release waits for running requests; if little of the hold is left, it is waited out instead, as a grant extends it.

Evidence: test_answer_to_a_probe_moves_keys_on_which_the_target_is_at_work failed before ("t2 took keys {0, 1} while t1 was at work on them").

--- a/src/dogwoodmast/direct/grant_state_machine.py
+++ b/src/dogwoodmast/direct/grant_state_machine.py
@@ -17,6 +17,9 @@
   might be, another grant is acknowledged first; from then on the target rejects
   lower tokens.  One might be unless the answer to the latest grant is proven to
   be its own.
+- A release that had no answer may have been executed.  The target need not wait
+  for running requests before it answers another one, which therefore counts
+  only after a further grant, whose release waits for them.
 - A listing says that a holder has ended only if it shows a later start.  The
   process that it shows may hold the keys instead, and has to release them.
 
@@ -125,6 +128,9 @@
 
 TargetCall = GrantCall | ReleaseCall
 
+_CERTAIN_OUTCOMES = frozenset((GrantAnswer.ACCEPTED, GrantAnswer.UNSENT))
+"""Outcomes of a release that leave no doubt whether it was executed."""
+
 
 def divide_keys(count: int) -> list[Shard]:
     """Divide the key space into free shards of equal size.
@@ -320,6 +326,7 @@
                 shard.delayed_grant_until = (
                     DISTANT_PAST if is_proven else now + self.max_hold_time
                 )
+                shard.may_finish_work &= not is_proven
                 self._on_accepted(shard, sent)
             case GrantAnswer.STALE_FENCE:
                 # A coordinator of a later epoch has granted the keys.
@@ -351,7 +358,7 @@
                 shard.next_call_at = now + CONFIRMATION_RETRY_INTERVAL
             case GrantAnswer.WRONG_TARGET:
                 self._free(shard, FreedBecause.ADDRESS_REUSED)
-            case GrantAnswer.ACCEPTED if now >= shard.delayed_grant_until:
+            case GrantAnswer.ACCEPTED if shard.is_release_final(now):
                 self._free(
                     shard,
                     FreedBecause.PROBED
@@ -359,12 +366,16 @@
                     else FreedBecause.RELEASED,
                 )
                 shard.handover = handover
-            case GrantAnswer.ACCEPTED if call.is_probe:
+            case GrantAnswer.ACCEPTED if call.is_probe and _is_worth_granting(
+                shard, self.hold, now
+            ):
                 # The target answers again: a higher fencing token makes it
-                # reject delayed grants, so that they need not be waited for.
+                # reject delayed grants, so that they need not be waited for,
+                # and the next release is answered when its work has ended.
                 shard.phase = Phase.FENCING
                 shard.next_call_at = now
             case _:
+                shard.may_finish_work |= answer not in _CERTAIN_OUTCOMES
                 shard.phase = Phase.EXPIRING
                 shard.next_call_at = now + PROBE_INTERVAL
 
@@ -517,6 +528,7 @@
         shard.phase = Phase.FREE
         shard.held_until = DISTANT_PAST
         shard.delayed_grant_until = DISTANT_PAST
+        shard.may_finish_work = False
         shard.handover = ''
         self._set_open(shard, is_open=False)
 
@@ -524,3 +536,12 @@
         if shard.is_open is not is_open:
             shard.is_open = is_open
             self._changed.append(shard)
+
+
+def _is_worth_granting(shard: Shard, hold: float, now: float) -> bool:
+    """Tell whether another grant may free keys before their hold expires.
+
+    It extends the hold, which is waited out if little is left of it.
+    """
+    is_hold_long = shard.held_until - now > hold / 2
+    return is_hold_long or now < shard.delayed_grant_until
--- a/src/dogwoodmast/direct/shard.py
+++ b/src/dogwoodmast/direct/shard.py
@@ -62,6 +62,9 @@
     delayed_grant_until: float = DISTANT_PAST
     """Monotonic time in seconds until which the target may still apply an
     earlier grant whose outcome is not known."""
+    may_finish_work: bool = False
+    """Whether requests from before a release that had no answer may still run
+    at the target; a later release is no sign of their end."""
     next_call_at: float = DISTANT_PAST
     """Monotonic time in seconds of the next renewal or probe."""
     destination: str = NO_TARGET
@@ -92,6 +95,15 @@
             self.is_open,
         )
 
+    def is_release_final(self, now: float) -> bool:
+        """Check whether a release that is answered now frees the keys.
+
+        :param now: Monotonic time in seconds.
+        :return: Whether neither a grant nor requests from before the release
+            can keep the target at the keys.
+        """
+        return not self.may_finish_work and now >= self.delayed_grant_until
+
     def split(self, at: int) -> Shard:
         """Split the shard in two; this one keeps the lower keys.
 
--- a/tests/grant_simulation.py
+++ b/tests/grant_simulation.py
@@ -3,7 +3,8 @@
 It does no I/O, and tests advance its clock.  A target follows the rules of the
 platform: a grant lasts from its arrival, also if it is applied later; a grant
 with a lower fencing token than the highest that the target has seen is refused;
-a release ends the hold of its keys.
+a release ends the hold of its keys, and is answered when the work on the keys
+that it found held has ended.
 """
 
 from __future__ import annotations
@@ -56,6 +57,25 @@
     """Highest fencing token that was accepted for each key."""
     is_running: bool = True
     """Whether the process runs."""
+    is_at_work: bool = False
+    """Whether requests run on all keys that are held or were released."""
+    released_work: dict[int, float] = attrs.field(factory=dict)
+    """Simulated time by key at which the hold would have expired that a release
+    ended while requests ran, in seconds."""
+
+    def end_work(self) -> None:
+        """End all requests."""
+        self.is_at_work = False
+        self.released_work.clear()
+
+    def works_on(self, key: int, now: float) -> bool:
+        """Tell whether a request on a key that was released still runs.
+
+        :param key: Key.
+        :param now: Simulated time in seconds.
+        :return: Whether it runs; it ends when the hold would have expired.
+        """
+        return self.is_running and now < self.released_work.get(key, 0)
 
     def held_keys(self, now: float) -> set[int]:
         """Return the keys that the incarnation holds.
@@ -87,13 +107,20 @@
             self.holds[key] = KeyHold(call.fence, until)
         return True
 
-    def release(self, keys: range) -> None:
+    def release(self, keys: range, now: float) -> bool:
         """End the holds of keys.
 
         :param keys: Keys to release.
+        :param now: Simulated time in seconds.
+        :return: Whether the release is answered at once; not if requests run on
+            keys that were held.  A later release does not wait for these.
         """
+        held = self.held_keys(now).intersection(keys)
         for key in keys:
-            self.holds.pop(key, None)
+            known = self.holds.pop(key, None)
+            if known is not None and key in held and self.is_at_work:
+                self.released_work[key] = known.until
+        return not (held and self.is_at_work)
 
 
 @attrs.define(eq=False)
@@ -240,6 +267,18 @@
             if incarnation.is_running and incarnation.target.name == name
         ]
 
+    def work(self, name: str, *, is_at_work: bool) -> None:
+        """Begin or end requests on all keys that a target holds.
+
+        :param name: Name of the target.
+        :param is_at_work: Whether requests begin.
+        """
+        for incarnation in self._running(name):
+            if is_at_work:
+                incarnation.is_at_work = True
+            else:
+                incarnation.end_work()
+
     def start_draining(self, name: str) -> None:
         """List a target as draining.
 
@@ -371,8 +410,8 @@
                 if has_successor
                 else GrantAnswer.UNKNOWN
             )
-        incarnation.release(pending.keys)
-        return GrantAnswer.ACCEPTED
+        is_answered = incarnation.release(pending.keys, self.now)
+        return GrantAnswer.ACCEPTED if is_answered else GrantAnswer.UNKNOWN
 
     def lose_answer(self, pending: PendingCall) -> None:
         """Report to the coordinator that a call was not answered.
@@ -443,10 +482,13 @@
         :param arrived_at: Simulated time of the arrival, in seconds.
         :return: Whether the grant was accepted.
         :raises AssertionError: If the incarnation takes a key with a fencing
-            token that is not higher than that of another holder before.
+            token that is not higher than that of another holder before, or
+            while another is at work on it.
         """
         newly_held = set(keys) - incarnation.held_keys(self.now)
         accepted = incarnation.grant(call, keys, arrived_at)
+        if accepted:
+            self._check_no_other_works(incarnation, newly_held)
         own_id = (incarnation.target.name, incarnation.target.born)
         for key in (
             newly_held & incarnation.held_keys(self.now) if accepted else ()
@@ -459,6 +501,16 @@
             self.fences[key] = max((fence, holder), (call.fence, own_id))
         return accepted
 
+    def _check_no_other_works(
+        self, incarnation: Incarnation, keys: set[int]
+    ) -> None:
+        for other in self.incarnations.values():
+            at_work = {key for key in keys if other.works_on(key, self.now)}
+            assert other is incarnation or not at_work, (
+                f'{incarnation.target.name} took keys {at_work} while '
+                f'{other.target.name} was at work on them'
+            )
+
     def find_incarnation(self, call: TargetCall) -> Incarnation:
         """Find the incarnation that a call arrives at.
 
--- a/tests/test_grant_state_machine.py
+++ b/tests/test_grant_state_machine.py
@@ -209,6 +209,15 @@
         if name in self.simulation.listed:
             self.simulation.restart_unlisted(name)
 
+    @rule(name=st.sampled_from(NAMES), is_at_work=st.booleans())
+    def work(self, name: str, is_at_work: bool) -> None:
+        """Let requests begin or end at a target.
+
+        :param name: Name of the target.
+        :param is_at_work: Whether they begin.
+        """
+        self.simulation.work(name, is_at_work=is_at_work)
+
     @rule(name=st.sampled_from(NAMES))
     def show_listing(self, name: str) -> None:
         """List the process that runs under a name.
@@ -452,6 +461,47 @@
     assert {one.target for one in shards} == {'t2'}
 
 
+def test_answer_to_a_probe_moves_keys_on_which_the_target_is_at_work() -> None:
+    """A release times out while requests run; the target answers a second one.
+
+    Guards against taking that answer for the end of the requests.
+    """
+    simulation = make_started_simulation()
+    simulation.work('t1', is_at_work=True)
+    simulation.start_target('t2')
+    simulation.start_draining('t1')
+    for _ in range(3):
+        exchange_calls(simulation)
+        simulation.now += PROBE_INTERVAL
+    simulation.work('t1', is_at_work=False)
+    for _ in range(4):
+        exchange_calls(simulation)
+        simulation.now += PROBE_INTERVAL
+    assert holders_of(simulation) == {'t2'}
+
+
+def test_keys_whose_release_is_never_answered_are_free_after_their_hold() -> (
+    None
+):
+    """A target that answers probes, and ends no work, keeps keys for one hold.
+
+    Guards against grants that extend the hold again and again.
+    """
+    simulation = make_started_simulation()
+    started_at = simulation.now
+    simulation.work('t1', is_at_work=True)
+    simulation.start_target('t2')
+    simulation.start_draining('t1')
+    simulation.step(lambda usable: usable[-1])
+    simulation.now += HOLD / 2
+    for one in tuple(simulation.pending):
+        simulation.answer(one)
+    while simulation.now < started_at + HOLD + 2 * PROBE_INTERVAL:
+        simulation.now += PROBE_INTERVAL
+        exchange_calls(simulation)
+    assert holders_of(simulation) == {'t2'}
+
+
 def test_keys_of_a_zone_that_returns_are_served_at_once() -> None:
     """Targets of a zone that was cut off with the coordinator answer again.
 
