Store how long grants last, and wait as long in later terms

What callers saw: none seen; read in the code. A target could hold keys that were granted to another one (OWNER).

Cause: a coordinator bounded the holds of earlier terms by its own setting.

The record of a service now names the longest hold of any grant that may last. A term that grants for longer stores that before its first call; one that grants for less keeps the longer hold in the record until such holds have ended. A record without a hold is of an earlier build, and counts as the longest hold that the platform permits. Earlier builds read a record with a hold and ignore it. The writes moved to a module of their own, record_writer.py, unchanged.

Ruled out: going by the platform's longest hold always, which would leave keys of silent targets unserved for 4 s longer after each takeover.

--- a/src/dogwoodmast/direct/coordinator.py
+++ b/src/dogwoodmast/direct/coordinator.py
@@ -270,7 +270,9 @@
     ) -> ShardCoordinator:
         dependencies = self._dependencies
         hold = dependencies.longest_hold * HOLD_FRACTION
-        state_machine = GrantStateMachine(service, term.epoch, hold)
+        state_machine = GrantStateMachine(
+            service, term.epoch, hold, longest_hold=dependencies.longest_hold
+        )
         return ShardCoordinator(
             state_machine,
             self._leadership,
--- a/src/dogwoodmast/direct/grant_state_machine.py
+++ b/src/dogwoodmast/direct/grant_state_machine.py
@@ -132,6 +132,15 @@
 """Outcomes of a release that leave no doubt whether it was executed."""
 
 
+def max_hold_time(hold: float) -> float:
+    """Return the upper bound of a grant's duration on the local clock.
+
+    :param hold: Time for which the target is granted keys, in seconds.
+    :return: Time from the end of the call that sent the grant, in seconds.
+    """
+    return hold * (1 + CLOCK_DRIFT) + ARRIVAL_MARGIN
+
+
 def divide_keys(count: int) -> list[Shard]:
     """Divide the key space into free shards of equal size.
 
@@ -160,6 +169,11 @@
     """Time for which each grant lasts, in seconds."""
     shards: list[Shard] = attrs.field(factory=list)
     """Shards, ordered by key; together they cover the key space."""
+    longest_hold: float = attrs.field(
+        default=attrs.Factory(lambda self: self.hold, takes_self=True)
+    )
+    """Longest hold that the platform permits, in seconds; other coordinators
+    may grant keys for longer than this one."""
     fences: FenceCounter = attrs.field(
         init=False,
         default=attrs.Factory(
@@ -182,7 +196,7 @@
         It counts from the end of the call that sent the grant, and allows for
         a slow clock of the target and for late arrival.
         """
-        return self.hold * (1 + CLOCK_DRIFT) + ARRIVAL_MARGIN
+        return max_hold_time(self.hold)
 
     @property
     def targets(self) -> Mapping[str, Target]:
@@ -213,7 +227,8 @@
         :param grant_window: Time from now for which grant calls of earlier
             terms may still be in progress, in seconds.
         """
-        until = now + grant_window + self.max_hold_time
+        earlier_hold = record.hold or self.longest_hold
+        until = now + grant_window + max_hold_time(earlier_hold)
         for one in record.assignments:
             shard = Shard(one.first, one.last, one.target, one.born, one.fence)
             if one.target:
--- a/src/dogwoodmast/direct/messages.py
+++ b/src/dogwoodmast/direct/messages.py
@@ -90,7 +90,7 @@
     being moved or before its first grant is acknowledged."""
 
 
-@wire_message(_IDL, epoch=NOT_NEGATIVE, number=NOT_NEGATIVE)
+@wire_message(_IDL, epoch=NOT_NEGATIVE, number=NOT_NEGATIVE, hold=NOT_NEGATIVE)
 @attrs.frozen
 class ShardRecord:
     """Shard assignments of a service, as the coordinator stores them."""
@@ -104,6 +104,9 @@
     """Version of the table within the epoch at the time of the write."""
     assignments: tuple[ShardAssignment, ...]
     """Assignments of all shards, ordered by key."""
+    hold: float = 0
+    """Longest hold of any grant that may last when the record is read, in
+    seconds; 0 in records of builds that store none."""
 
 
 @wire_message(_IDL, epoch=NOT_NEGATIVE, base=NOT_NEGATIVE, number=NOT_NEGATIVE)
--- a/src/dogwoodmast/direct/shard_coordinator.py
+++ b/src/dogwoodmast/direct/shard_coordinator.py
@@ -19,33 +19,28 @@
     GrantStateMachine,
     divide_keys,
 )
+from dogwoodmast.direct.hold_bound import (
+    EARLIER_TERM_GRANT_WINDOW,
+    HoldBound,
+)
 from dogwoodmast.direct.key_loads import KeyLoads
-from dogwoodmast.direct.leadership import LEASE_TTL
 from dogwoodmast.direct.messages import ShardRecord
+from dogwoodmast.direct.record_writer import RecordWriter
 from dogwoodmast.direct.shard import Phase, Shard
 from dogwoodmast.direct.shard_planner import (
     INITIAL_SHARDS_PER_TARGET,
     ShardPlanner,
 )
-from dogwoodmast.direct.shard_record import (
-    covers_all_keys,
-    pack_record,
-    unpack_record,
-)
-from dogwoodmast.direct.target_control import (
-    GRANT_TIMEOUT,
-    ControlResult,
-    TargetControl,
-)
+from dogwoodmast.direct.shard_record import covers_all_keys, unpack_record
+from dogwoodmast.direct.target_control import ControlResult, TargetControl
 from dogwoodmast.direct.target_latencies import (
     TargetLatencies,
     limited_capacity,
 )
 from dogwoodmast.direct.update_log import UpdateLog
-from dogwoodmast.errors import MalformedFrame, PlatformAnswerLost, PlatformError
+from dogwoodmast.errors import MalformedFrame, PlatformAnswerLost
 from dogwoodmast.events import Event, log_event
-from dogwoodmast.key_value import MISSING_REVISION, Expectation, Put
-from dogwoodmast.store_position import era_of, is_later_era
+from dogwoodmast.store_position import era_of
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -75,16 +70,9 @@
 """Time in seconds without a new target before keys are first assigned, so that
 they are spread over all targets: each target is listed with its next heartbeat,
 and the copy of the store lags behind."""
-EARLIER_TERM_GRANT_WINDOW = LEASE_TTL + GRANT_TIMEOUT
-"""Time in seconds for which grant calls of an earlier term may still be in
-progress.  The lease of its coordinator may have been revoked right after a
-renewal, so that it acts until the lease would have expired, and a grant call
-that it began just before then may take as long as its time limit."""
 UNKNOWN_SHARDS = 64
 """Number of shards that the keys are divided into if the stored record cannot
 be read."""
-RECORD_RETRY_INTERVAL = 0.2
-"""Pause before the retry of a failed write of the record, in seconds."""
 
 
 class ShardCoordinator:
@@ -113,7 +101,6 @@
         """
         self._state_machine = state_machine
         self._leadership = leadership
-        self._store = store
         self._clock = clock
         self._statements = statements
         self._reach = reach
@@ -122,10 +109,13 @@
         self._latencies = TargetLatencies()
         self._update_log = UpdateLog(state_machine.service, state_machine.epoch)
         self._controls: dict[tuple[str, int], TargetControl] = {}
-        self._record_revision = MISSING_REVISION
+        self._records = RecordWriter(
+            self.key, state_machine.epoch, leadership, store
+        )
         self._recording = False
         self._planned_at = float('-inf')
         self._last_joined_at = float('inf')
+        self._holds = HoldBound(state_machine.hold)
         self._changed = anyio.Event()
 
     @property
@@ -154,20 +144,20 @@
 
         :raises PlatformError: If a call to the store fails.
         """
-        found = (await self._store.read(self.key)).first
+        found = await self._records.read()
         record = None
         if found is not None:
-            self._record_revision = found.revision
             record = _read_record(self.key, found.value)
         era = era_of(self._state_machine.epoch)
         is_restored = record is None or era_of(record.epoch) < era
         is_restored = is_restored and era > 0
         now = self._clock.monotonic()
+        self._holds = HoldBound.of(record, self._state_machine, now)
+        held_until = self._holds.earlier_until
         if record is not None and not is_restored:
+            await self._store_longer_hold(record, now)
             self._state_machine.restore(record, now, EARLIER_TERM_GRANT_WINDOW)
         elif found is not None or is_restored:
-            held_until = now + EARLIER_TERM_GRANT_WINDOW
-            held_until += self._state_machine.max_hold_time
             self._state_machine.shards = _unknown_shards(held_until, record)
         if is_restored:
             log_event(
@@ -179,6 +169,19 @@
         else:
             self._log_changes(self._state_machine.shards)
 
+    async def _store_longer_hold(self, record: ShardRecord, now: float) -> None:
+        """Store how long holds last before grants exceed what is stored.
+
+        :param record: Stored record.
+        :param now: Monotonic time in seconds.
+        :raises PlatformError: If the record cannot be written now.
+        """
+        if record.hold >= self._holds.own:
+            return
+        updated = attrs.evolve(record, hold=self._holds.longest(now))
+        if not await self._records.try_write(updated):
+            raise PlatformAnswerLost('store')
+
     def on_targets(
         self,
         targets: list[Target],
@@ -241,6 +244,28 @@
         self._place_free(tasks, now)
         self._publish()
 
+    async def record_assignments(self, shards: list[Shard]) -> None:
+        """Store all assignments.
+
+        :param shards: Shards that are granted once the record is stored.
+        """
+        assignments = tuple(
+            one.assignment for one in self._state_machine.shards
+        )
+        record = ShardRecord(
+            self._state_machine.service,
+            self._state_machine.epoch,
+            self._update_log.number,
+            assignments,
+            self._holds.longest(self._clock.monotonic()),
+        )
+        try:
+            await self._records.write(record)
+        finally:
+            self._recording = False
+        now = self._clock.monotonic()
+        self._state_machine.on_recorded(shards, now)
+
     async def aclose(self) -> None:
         """Close all connections to targets."""
         for control in self._controls.values():
@@ -257,7 +282,7 @@
         )
         if placed:
             self._recording = True
-            tasks.start_soon(self._record_assignments, placed)
+            tasks.start_soon(self.record_assignments, placed)
 
     def _create_shards(self, now: float) -> None:
         usable = self._state_machine.usable_targets(now)
@@ -330,64 +355,6 @@
             )
         return self._controls[incarnation]
 
-    async def _record_assignments(self, shards: list[Shard]) -> None:
-        assignments = tuple(
-            one.assignment for one in self._state_machine.shards
-        )
-        record = ShardRecord(
-            self._state_machine.service,
-            self._state_machine.epoch,
-            self._update_log.number,
-            assignments,
-        )
-        try:
-            await self._write(pack_record(record))
-        finally:
-            self._recording = False
-        now = self._clock.monotonic()
-        self._state_machine.on_recorded(shards, now)
-
-    async def _write(self, content: bytes) -> None:
-        """Write the record, and retry until the store has confirmed it."""
-        while True:
-            try:
-                written = await self._try_write(content)
-            except PlatformError as error:
-                log_event(Event.RECORD_FAILED, reason=error.message)
-                await anyio.sleep(RECORD_RETRY_INTERVAL)
-                continue
-            if written:
-                return
-            await anyio.sleep(RECORD_RETRY_INTERVAL)
-
-    async def _try_write(self, content: bytes) -> bool:
-        expectations = (
-            self._leadership.expectation,
-            Expectation(self.key, self._record_revision),
-        )
-        try:
-            swap = await self._store.swap(
-                expectations, (Put(self.key, content),)
-            )
-        except PlatformAnswerLost:
-            return await self._confirm_written(content)
-        if swap.succeeded:
-            self._record_revision = swap.revision
-            return True
-        return await self._confirm_written(content)
-
-    async def _confirm_written(self, content: bytes) -> bool:
-        """Tell whether a record is stored; if not, expect what is instead.
-
-        The store rejects the write if this VM is not the coordinator, so that
-        nothing newer is replaced.
-        """
-        found = (await self._store.read(self.key)).first
-        self._record_revision = found.revision if found else MISSING_REVISION
-        if found is None or found.value != content:
-            return False
-        return not is_later_era(found.revision, self._state_machine.epoch)
-
     def _publish(self) -> None:
         for freed in self._state_machine.freed.drain():
             log_event(
--- a/src/dogwoodmast/idl/direct.thrift
+++ b/src/dogwoodmast/idl/direct.thrift
@@ -35,6 +35,7 @@
   2: i64 epoch,
   3: i64 number,
   4: list<ShardAssignment> assignments,
+  5: double hold = 0,
 }
 
 struct ShardUpdate {
--- a/tests/test_evacuation_of_keys.py
+++ b/tests/test_evacuation_of_keys.py
@@ -20,12 +20,12 @@
     TargetCall,
     divide_keys,
 )
+from dogwoodmast.direct.hold_bound import EARLIER_TERM_GRANT_WINDOW
 from dogwoodmast.direct.key_loads import KeyLoads
 from dogwoodmast.direct.load_balance import MAX_CONCURRENT_MOVES
 from dogwoodmast.direct.messages import ShardRecord
 from dogwoodmast.direct.shard import Shard
 from dogwoodmast.direct.shard_coordinator import (
-    EARLIER_TERM_GRANT_WINDOW,
     LOAD_HALF_LIFE,
     PLAN_INTERVAL,
 )
--- a/tests/test_unreadable_records.py
+++ b/tests/test_unreadable_records.py
@@ -8,11 +8,11 @@
 
 from dogwoodmast.clock import ManualClock
 from dogwoodmast.direct.grant_state_machine import GrantStateMachine
+from dogwoodmast.direct.hold_bound import EARLIER_TERM_GRANT_WINDOW
 from dogwoodmast.direct.leadership import Leadership
 from dogwoodmast.direct.messages import ShardAssignment, ShardRecord, VmRecord
 from dogwoodmast.direct.shard import Phase
 from dogwoodmast.direct.shard_coordinator import (
-    EARLIER_TERM_GRANT_WINDOW,
     ShardCoordinator,
 )
 from dogwoodmast.direct.shard_record import pack_record
