Free no keys by the listing of a start at another address alone

What callers saw: none seen; read in the code. Keys could have two holders (OWNER).

Cause: a target that is listed with a later start at another address was taken for proof that nobody holds the keys any more. If it starts twice within the lag of a copy, the second time at its first address again, that process may have accepted a renewal that was meant for the first one.

Now the first address is asked for a release. If it refuses the connection, the keys are free at once, as before; a process of the target there has to release them, and if there is no answer the hold is waited out.

Evidence: test_second_restart_within_the_lag_of_a_copy_shares_keys failed before ("key 0 is held by t2 and t1"). The search draws starts at new and at earlier addresses, and listings that lag by up to two starts.

Ruled out: a name that returns at an address that had another service. A 421 from that address frees only the keys of the process that was granted them there, which has ended.

--- a/src/dogwoodmast/direct/freed_keys.py
+++ b/src/dogwoodmast/direct/freed_keys.py
@@ -23,7 +23,8 @@
     ADDRESS_REUSED = 'address_reused'
     """Another target answered at the holder's address."""
     RESTARTED = 'restarted'
-    """The target is listed with a later start time, at another address."""
+    """The target is listed with a later start time, at another address, and its
+    earlier address refuses connections."""
     NEVER_GRANTED = 'never_granted'
     """No grant was sent for the assignment."""
 
--- a/src/dogwoodmast/direct/grant_state_machine.py
+++ b/src/dogwoodmast/direct/grant_state_machine.py
@@ -21,7 +21,9 @@
   for running requests before it answers another one, which therefore counts
   only after a further grant, whose release waits for them.
 - A listing says that a holder has ended only if it shows a later start.  The
-  process that it shows may hold the keys instead, and has to release them.
+  process that it shows may hold the keys instead, and has to release them.  If
+  it listens elsewhere, so may a still later one at the holder's address, unless
+  that refuses a connection.
 
 A listing that is older than the term tells nothing of a holder that it lacks:
 the holder may have been listed since, and keeps its keys.
@@ -88,6 +90,8 @@
     ended."""
     UNSENT = 'unsent'
     """No connection could be established, so nothing was sent."""
+    ABSENT = 'absent'
+    """No process listens at the target's address, so nothing was sent."""
     WITHHELD = 'withheld'
     """The store did not confirm the coordinator's term, so nothing was sent."""
     UNKNOWN = 'unknown'
@@ -128,7 +132,9 @@
 
 TargetCall = GrantCall | ReleaseCall
 
-_CERTAIN_OUTCOMES = frozenset((GrantAnswer.ACCEPTED, GrantAnswer.UNSENT))
+_NOT_SENT = frozenset((GrantAnswer.UNSENT, GrantAnswer.ABSENT))
+"""Outcomes of a call that did not reach its target."""
+_CERTAIN_OUTCOMES = frozenset((GrantAnswer.ACCEPTED, *_NOT_SENT))
 """Outcomes of a release that leave no doubt whether it was executed."""
 
 
@@ -332,7 +338,7 @@
         if answer is GrantAnswer.WITHHELD:
             shard.next_call_at = now + CONFIRMATION_RETRY_INTERVAL
             return
-        if answer is not GrantAnswer.UNSENT:
+        if answer not in _NOT_SENT:
             shard.held_until = max(shard.held_until, now + self.max_hold_time)
         match answer:
             case GrantAnswer.ACCEPTED:
@@ -349,6 +355,8 @@
             case GrantAnswer.WRONG_TARGET:
                 self._avoided_until[shard.target] = now + AVOIDANCE_PERIOD
                 self._free(shard, FreedBecause.ADDRESS_REUSED)
+            case GrantAnswer.ABSENT if shard.is_holder_replaced:
+                self._free(shard, FreedBecause.RESTARTED)
             case _:
                 self._on_unanswered(shard, answer, now)
 
@@ -373,6 +381,8 @@
                 shard.next_call_at = now + CONFIRMATION_RETRY_INTERVAL
             case GrantAnswer.WRONG_TARGET:
                 self._free(shard, FreedBecause.ADDRESS_REUSED)
+            case GrantAnswer.ABSENT if shard.is_holder_replaced:
+                self._free(shard, FreedBecause.RESTARTED)
             case GrantAnswer.ACCEPTED if shard.is_release_final(now):
                 self._free(
                     shard,
@@ -467,17 +477,17 @@
     def _advance_restarted(
         self, shard: Shard, successor: Target, now: float
     ) -> TargetCall | None:
-        """Free the keys of a process that has ended.
+        """Move the keys of a process that has ended.
 
-        Its successor has to release them, unless it listens elsewhere, so that
-        no call meant for the process before can have reached it.
+        Calls that were meant for it may have reached a later process at its
+        address, which has to release them.
         """
         ended = self._last_known.get((shard.target, shard.born))
         shard.destination = shard.destination or successor.name
         if ended is not None and ended.address != successor.address:
-            self._free(shard, FreedBecause.RESTARTED)
-            return None
-        shard.born = successor.born
+            shard.is_holder_replaced = True
+        else:
+            shard.born = successor.born
         return self._start_move(shard, now)
 
     def _start_move(self, shard: Shard, now: float) -> TargetCall | None:
@@ -544,6 +554,7 @@
         shard.held_until = DISTANT_PAST
         shard.delayed_grant_until = DISTANT_PAST
         shard.may_finish_work = False
+        shard.is_holder_replaced = False
         shard.handover = ''
         self._set_open(shard, is_open=False)
 
--- a/src/dogwoodmast/direct/shard.py
+++ b/src/dogwoodmast/direct/shard.py
@@ -62,6 +62,9 @@
     delayed_grant_until: float = DISTANT_PAST
     """Monotonic time in seconds until which the target may still apply an
     earlier grant whose outcome is not known."""
+    is_holder_replaced: bool = False
+    """Whether a later process of the target is listed at another address, so
+    that the holder has ended; yet another one may listen at its address."""
     may_finish_work: bool = False
     """Whether requests from before a release that had no answer may still run
     at the target; a later release is no sign of their end."""
--- a/src/dogwoodmast/direct/target_control.py
+++ b/src/dogwoodmast/direct/target_control.py
@@ -132,8 +132,11 @@
         permission = _Permission(may_send, confirm)
         try:
             return await self._call(request, http_request, timeout, permission)
-        except ConnectFailed:
-            return ControlResult(GrantAnswer.UNSENT)
+        except ConnectFailed as error:
+            is_absent = error.is_absent
+            return ControlResult(
+                GrantAnswer.ABSENT if is_absent else GrantAnswer.UNSENT
+            )
         except (BackendError, TimeoutError):
             return ControlResult(GrantAnswer.UNKNOWN)
 
--- a/tests/grant_simulation.py
+++ b/tests/grant_simulation.py
@@ -225,18 +225,21 @@
         """
         for incarnation in self._running(name):
             incarnation.is_running = False
-        port = 1000 + len(self.incarnations)
-        self._start(name, Address('10.0.0.1', port))
+        self._start(name, self.new_address())
         self.show_listing(name)
 
-    def restart_unlisted(self, name: str) -> None:
-        """Restart a target at its address while it is cut off from the store.
+    def restart_unlisted(
+        self, name: str, address: Address | None = None
+    ) -> None:
+        """Restart a target while it is cut off from the store.
 
         The store goes on listing the process before, until
         :meth:`show_listing`.  Calls that have not been executed are lost with
         their connections.
 
         :param name: Name of a target that is listed.
+        :param address: Address of the new process, by default that of the
+            process before.
         """
         for incarnation in self._running(name):
             for pending in tuple(self.pending):
@@ -244,16 +247,46 @@
                     self.pending.remove(pending)
                     self._report(pending, GrantAnswer.UNKNOWN)
             incarnation.is_running = False
-        self._start(name, self.listed[name].address)
+        self._start(name, address or self.listed[name].address)
+
+    def new_address(self) -> Address:
+        """Return an address that no process has had."""
+        return Address('10.0.0.1', 1000 + len(self.incarnations))
 
-    def show_listing(self, name: str) -> None:
-        """List the process that runs under a name, if there is one.
+    def addresses(self, name: str) -> list[Address]:
+        """List the addresses that processes of a name have had.
 
         :param name: Name of the target.
+        :return: Addresses in the order of their first use.
         """
-        for incarnation in self._running(name):
-            self.listed[name] = incarnation.target
-            self.known.append(incarnation.target)
+        return list(
+            dict.fromkeys(
+                one.target.address
+                for one in self.incarnations.values()
+                if one.target.name == name
+            )
+        )
+
+    def show_listing(self, name: str, skipped: int = 0) -> None:
+        """List the latest process of a name, or one before if the copy lags.
+
+        :param name: Name of the target.
+        :param skipped: Number of later processes that are not shown; no
+            process is shown that started before the one that is listed.
+        """
+        processes = [
+            one.target
+            for one in self.incarnations.values()
+            if one.target.name == name
+        ]
+        if not processes or not (skipped or self._running(name)):
+            return
+        shown = processes[max(-len(processes), -1 - skipped)]
+        listed = self.listed.get(name)
+        is_later = not skipped if listed is None else shown.born >= listed.born
+        if is_later:
+            self.listed[name] = shown
+            self.known.append(shown)
 
     def _start(self, name: str, address: Address) -> None:
         born = int(self.now * 1000) + len(self.incarnations)
@@ -395,6 +428,15 @@
         incarnation = self.find_incarnation(pending.call)
         self._report(pending, self._execute(pending, incarnation))
 
+    def refuse(self, pending: PendingCall) -> None:
+        """Refuse the connection of a call to a process that has ended.
+
+        :param pending: Call that is not sent.
+        """
+        self.pending.remove(pending)
+        assert not self.find_incarnation(pending.call).is_running
+        self._report(pending, GrantAnswer.ABSENT)
+
     def _execute(
         self, pending: PendingCall, incarnation: Incarnation
     ) -> GrantAnswer:
--- a/tests/test_grant_state_machine.py
+++ b/tests/test_grant_state_machine.py
@@ -200,14 +200,30 @@
         if isinstance(pending.call, GrantCall) and not pending.call.is_fencing:
             self.simulation.answer_by_another(pending, is_late=is_late)
 
-    @rule(name=st.sampled_from(NAMES))
-    def restart_unlisted(self, name: str) -> None:
-        """Restart a target at its address while it is cut off from the store.
+    @precondition(lambda self: self.simulation.pending)
+    @rule(choice=CHOICES)
+    def refuse(self, choice: int) -> None:
+        """Refuse the connection of a call, if no process listens.
+
+        :param choice: Selects the call.
+        """
+        pending = self.pick_call(choice)
+        if not self.simulation.find_incarnation(pending.call).is_running:
+            self.simulation.refuse(pending)
+
+    @rule(name=st.sampled_from(NAMES), choice=CHOICES)
+    def restart_unlisted(self, name: str, choice: int) -> None:
+        """Restart a target while it is cut off from the store.
 
         :param name: Name of the target.
+        :param choice: Selects a new address, or one that it has had.
         """
         if name in self.simulation.listed:
-            self.simulation.restart_unlisted(name)
+            addresses = self.simulation.addresses(name)
+            addresses.append(self.simulation.new_address())
+            self.simulation.restart_unlisted(
+                name, addresses[choice % len(addresses)]
+            )
 
     @rule(name=st.sampled_from(NAMES), is_at_work=st.booleans())
     def work(self, name: str, is_at_work: bool) -> None:
@@ -218,13 +234,14 @@
         """
         self.simulation.work(name, is_at_work=is_at_work)
 
-    @rule(name=st.sampled_from(NAMES))
-    def show_listing(self, name: str) -> None:
-        """List the process that runs under a name.
+    @rule(name=st.sampled_from(NAMES), skipped=st.integers(0, 2))
+    def show_listing(self, name: str, skipped: int) -> None:
+        """List the process that runs under a name, or one before it.
 
         :param name: Name of the target.
+        :param skipped: Number of later processes that are not shown.
         """
-        self.simulation.show_listing(name)
+        self.simulation.show_listing(name, skipped)
 
     @precondition(lambda self: self.simulation.listings)
     @rule(choice=CHOICES)
@@ -624,6 +641,36 @@
     assert holders_of(simulation) == {'t2'}
 
 
+def test_second_restart_within_the_lag_of_a_copy_shares_keys() -> None:
+    """A target starts elsewhere, and again at its first address.
+
+    Guards against taking the listing of the start elsewhere for proof that no
+    process at the first address holds keys.
+    """
+    simulation = make_started_simulation()
+    first = simulation.listed['t1'].address
+    simulation.start_target('t2')
+    simulation.restart_unlisted('t1', simulation.new_address())
+    simulation.restart_unlisted('t1', first)
+    simulation.now += HOLD / 2
+    exchange_calls(simulation)
+    simulation.show_listing('t1', 1)
+    for _ in range(5):
+        exchange_calls(simulation)
+        simulation.check_exclusive_holds()
+
+
+def test_keys_of_a_target_that_starts_elsewhere_are_free_at_once() -> None:
+    """Nothing listens at its earlier address, so no hold is waited for."""
+    simulation = make_started_simulation()
+    simulation.start_target('t1')
+    simulation.step(lambda usable: usable[-1])
+    for one in tuple(simulation.pending):
+        simulation.refuse(one)
+    machine = simulation.current_term.machine
+    assert {one.phase for one in machine.shards} == {Phase.FREE}
+
+
 def test_older_listing_does_not_free_the_keys_of_a_process_that_lives() -> None:
     """A new coordinator whose listing is older takes no keys away."""
     simulation = make_started_simulation()
