--- a/tests/test_grant_state_machine.py
+++ b/tests/test_grant_state_machine.py
@@ -200,6 +200,18 @@
         if isinstance(pending.call, GrantCall) and not pending.call.is_fencing:
             self.simulation.answer_by_another(pending, is_late=is_late)
 
+    @rule(choice=CHOICES)
+    def split(self, choice: int) -> None:
+        """Split a shard of the current coordinator, if nothing is under way.
+
+        :param choice: Selects the shard and the first key of its upper part.
+        """
+        machine = self.simulation.current_term.machine
+        shard = machine.shards[choice % len(machine.shards)]
+        if shard.width > 1 and not shard.call_in_flight:
+            at = shard.first + 1 + choice % (shard.width - 1)
+            machine.split(shard, at)
+
     @precondition(lambda self: self.simulation.pending)
     @rule(choice=CHOICES)
     def refuse(self, choice: int) -> None:
@@ -671,6 +683,66 @@
     assert {one.phase for one in machine.shards} == {Phase.FREE}
 
 
+@pytest.mark.parametrize('is_repeated', [False, True])
+def test_late_grant_of_a_whole_shard_takes_no_part_that_has_moved(
+    is_repeated: bool,
+) -> None:
+    """A renewal is applied after its shard was split and one part moved.
+
+    Guards against parts that do not know of a grant of the whole.
+    """
+    simulation = make_started_simulation()
+    simulation.now += HOLD / RENEWALS_PER_HOLD
+    simulation.step(lambda usable: usable[0])
+    for renewal in tuple(simulation.pending):
+        if is_repeated:
+            simulation.answer_by_another(renewal, is_late=True)
+        else:
+            simulation.lose_answer(renewal)
+    machine = simulation.current_term.machine
+    simulation.start_target('t2')
+    for whole in tuple(machine.shards):
+        machine.split(whole, whole.first + 1).destination = 't2'
+    for _ in range(5):
+        exchange_calls(simulation)
+    assert holders_of(simulation) == {'t1', 't2'}
+    for delayed in tuple(simulation.delayed_grants):
+        simulation.apply_delayed_grant(delayed)
+        simulation.check_exclusive_holds()
+
+
+@pytest.mark.parametrize('is_late', [False, True])
+def test_call_of_an_own_earlier_term_takes_no_key_back(is_late: bool) -> None:
+    """A VM replaces its own term while renewals of that one are under way.
+
+    Guards against a new term that trusts the calls of the former one to have
+    ended, since it is of the same VM.
+    """
+    simulation = make_started_simulation()
+    simulation.now += HOLD / RENEWALS_PER_HOLD
+    simulation.step(lambda usable: usable[0])
+    under_way = tuple(simulation.pending)
+    assert under_way
+    simulation.start_term()
+    simulation.start_target('t2')
+    for renewal in under_way if is_late else ():
+        simulation.lose_answer(renewal)
+    for shard in simulation.current_term.machine.shards:
+        shard.destination = 't2'
+    for _ in range(5):
+        simulation.step(lambda usable: usable[-1])
+        for one in tuple(simulation.pending):
+            if one.term is simulation.current_term:
+                simulation.answer(one)
+    assert holders_of(simulation) == {'t2'}
+    for answered in tuple(simulation.pending):
+        simulation.answer(answered)
+        simulation.check_exclusive_holds()
+    for delayed in tuple(simulation.delayed_grants):
+        simulation.apply_delayed_grant(delayed)
+        simulation.check_exclusive_holds()
+
+
 def test_older_listing_does_not_free_the_keys_of_a_process_that_lives() -> None:
     """A new coordinator whose listing is older takes no keys away."""
     simulation = make_started_simulation()
