Count the eras of the store alike in all entry VMs

What callers saw: none seen; read in the code. A coordinator that starts after a restore could take restored holders for the latest ones and give lower tokens than before (OWNER).

Cause: each process counts eras from the number in its first response. A store that counts from 0, or names no era until its first restore, looks to a process that starts after it like one that counts from 1.

The lowest first number is stored now, and read before each campaign: one read for each, and a write for the first one.

Evidence: test_vm_that_starts_after_a_restore_gives_low_tokens failed before for stores that name 0 or nothing first (2 of 3 cases). Two tests have a response for the further read in their canned store.

--- a/src/dogwoodmast/direct/leadership.py
+++ b/src/dogwoodmast/direct/leadership.py
@@ -145,6 +145,7 @@
         :raises PlatformError: If a call to the store fails, or there are no
             more fencing tokens.
         """
+        await self._store.agree_on_eras()
         requested_at = self._clock.monotonic()
         lease = await self._store.grant_lease(LEASE_TTL)
         revision = await self._write_record(lease)
--- a/src/dogwoodmast/key_value.py
+++ b/src/dogwoodmast/key_value.py
@@ -180,6 +180,16 @@
     def is_arriving(self) -> bool:
         """Whether a response is arriving: begun, not complete, nor stalled."""
 
+    async def agree_on_eras(self) -> None:
+        """Count the eras of the store as all other entry VMs do.
+
+        Positions that are read before may be of an earlier era than the same
+        ones afterwards.
+
+        :raises PlatformError: If a call to the store fails, or another entry VM
+            writes from where it counts at the same time.
+        """
+
     async def aclose(self) -> None:
         """Close idle connections; calls in progress go on."""
 
--- a/src/dogwoodmast/platform/store.py
+++ b/src/dogwoodmast/platform/store.py
@@ -26,6 +26,7 @@
     PlatformRefused,
 )
 from dogwoodmast.key_value import (
+    MISSING_REVISION,
     NO_LEASE,
     Change,
     ChangePage,
@@ -60,6 +61,9 @@
 )
 _OK_OR_GONE = frozenset((HTTPStatus.OK, HTTPStatus.GONE))
 
+FIRST_ERA_KEY = 'dogwoodmast/first-era'
+"""Key of the number that the store named in its first era."""
+
 _GREATEST_REVISION = 2**REVISION_BITS - 1
 _LEASE_BITS = 64
 """Bits of a qualified lease that hold the store's identifier of it."""
@@ -232,6 +236,30 @@
             raise PlatformAnswerLost(answer.endpoint)
         return answer.parse(_success)
 
+    async def agree_on_eras(self) -> None:
+        """Count the eras of the store as all other entry VMs do.
+
+        The lowest number that any of them has seen in a first response is
+        stored, since one that starts after a restore can't tell whether the
+        store had counted from 0.
+
+        :raises PlatformAnswerLost: If another entry VM writes it at the same
+            time.
+        """
+        found = (await self.read(FIRST_ERA_KEY)).first
+        own = self._eras.first_number
+        if found is not None and found.value.isdigit():
+            self._eras.count_from(int(found.value))
+            if int(found.value) <= own:
+                return
+        revision = MISSING_REVISION if found is None else found.revision
+        swap = await self.swap(
+            (Expectation(FIRST_ERA_KEY, revision),),
+            (Put(FIRST_ERA_KEY, str(own).encode()),),
+        )
+        if not swap.succeeded:
+            raise PlatformAnswerLost(str(self._http.address))
+
     async def grant_lease(self, ttl: int) -> int:
         """Create a lease.
 
--- a/src/dogwoodmast/platform/store_era.py
+++ b/src/dogwoodmast/platform/store_era.py
@@ -28,7 +28,7 @@
 
     Eras count from 0.  The number that the store names counts from 1, unless
     this process has seen responses with 0 or without a number before any
-    other.
+    other, or another one has told of such responses.
     """
 
     latest: int = 0
@@ -36,6 +36,28 @@
     _first_number: int | None = None
     """Number of the first era; ``None`` before the first response."""
 
+    @property
+    def first_number(self) -> int:
+        """Number that the store names in the first era."""
+        return (
+            _FIRST_NUMBER if self._first_number is None else self._first_number
+        )
+
+    def count_from(self, number: int) -> None:
+        """Count eras from a lower number than before.
+
+        :param number: Number of the first era, which another process has seen.
+        """
+        earlier = self.first_number - number
+        if earlier > 0:
+            self._first_number = number
+            self.latest += earlier
+            log_event(
+                Event.STORE_RESTORED,
+                previous=self.latest - earlier,
+                era=self.latest,
+            )
+
     def read(self, endpoint: str, headers: RawHeaders) -> int:
         """Read the era of a response.
 
--- a/tests/sync_simulation.py
+++ b/tests/sync_simulation.py
@@ -352,6 +352,9 @@
         await self._reach_store(CALL_TIMEOUT)
         return self.fleet.store.swap(expectations, writes)
 
+    async def agree_on_eras(self) -> None:
+        """Do nothing, since this store is never restored."""
+
     async def grant_lease(self, _ttl: int) -> int:
         """Create a lease, which ends only when it is revoked."""
         await self._reach_store(CALL_TIMEOUT)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -122,6 +122,9 @@
             raise PlatformAnswerLost('store')
         return SwapResult(succeeded=True, revision=9)
 
+    async def agree_on_eras(self) -> None:
+        """Do nothing, since this store is never restored."""
+
     async def grant_lease(self, _ttl: int) -> int:
         """Grant the only lease.
 
@@ -367,6 +370,8 @@
     async def call(_client: JsonClient, method: str, *_: object) -> object:
         if method == 'DELETE':
             return JsonResponse(status, [], b'{}')
+        if method == 'GET':
+            return JsonResponse(404, [], b'{}')
         return JsonResponse(200, [], b'{"lease": 7, "revision": 9}')
 
     monkeypatch.setattr(JsonClient, 'call', call)
--- a/tests/test_restored_terms.py
+++ b/tests/test_restored_terms.py
@@ -12,8 +12,8 @@
 from dogwoodmast.direct.messages import VmRecord
 from dogwoodmast.errors import FencesUsedUp
 from dogwoodmast.platform.store import MetadataStore
-from dogwoodmast.store_position import make_position
-from restoring_store import StoreCopy, restorable
+from dogwoodmast.store_position import era_of, make_position
+from restoring_store import RestoringStore, StoreCopy, restorable
 
 pytestmark = pytest.mark.anyio
 
@@ -34,6 +34,15 @@
     return term
 
 
+def end_terms(server: RestoringStore) -> None:
+    """Revoke all leases.
+
+    :param server: Store.
+    """
+    for lease in tuple(server.content.leases):
+        server.content.revoke_lease(lease)
+
+
 @pytest.mark.parametrize('era', [b'1', b'7', b'0', None])
 async def test_term_after_a_restore_has_higher_tokens(
     era: bytes | None,
@@ -58,6 +67,31 @@
             server.restore(empty)
 
 
+@pytest.mark.parametrize('era', [b'0', b'1', None])
+async def test_vm_that_starts_after_a_restore_gives_low_tokens(
+    era: bytes | None,
+) -> None:
+    """It becomes the coordinator beside VMs that know the era before.
+
+    Guards against eras that VMs count from different numbers.
+    """
+    async with restorable(era) as (server, store):
+        await begin_term(store)
+        copy = StoreCopy.of(server.content)
+        server.content.write([], [])
+        end_terms(server)
+        highest = FenceCounter((await begin_term(store)).epoch).take()
+        server.restore(copy)
+        end_terms(server)
+        started = MetadataStore(store._http.address, SystemClock())
+        try:
+            later = await begin_term(started)
+        finally:
+            await started.aclose()
+        assert era_of(later.epoch) == 1
+        assert FenceCounter(later.epoch).take() > highest
+
+
 async def test_tokens_are_those_of_builds_without_eras_before_a_restore() -> (
     None
 ):
@@ -76,9 +110,11 @@
     """Two tokens that differ must not be equal once a target has read them."""
     revision = 2**33 - era * 2**20
 
-    async def call(*_args: object) -> JsonResponse:
-        content = b'{"lease": 7, "revision": %d}' % revision
+    async def call(_client: object, method: str, *_: object) -> JsonResponse:
         headers = [(b'store-era', b'%d' % (era + 1))]
+        if method == 'GET':
+            return JsonResponse(404, headers, b'{}')
+        content = b'{"lease": 7, "revision": %d}' % revision
         return JsonResponse(200, headers, content)
 
     monkeypatch.setattr(JsonClient, 'call', call)
