Read the bodies of requests that offer another protocol

Cause: the parser of the HTTP server leaves what follows such a head to the offered protocol and stops. The server declined the offer, but took the request for complete and dropped or misread the rest.

A server may ignore an offer. The connection now hands the framing of the head to another parser, which reads the body and goes on in HTTP/1.1; offers of WebSocket are declined alike, whatever libraries are installed, and nothing is read behind CONNECT.

--- a/src/dogwoodmast/caller_connection.py
+++ b/src/dogwoodmast/caller_connection.py
@@ -13,17 +13,15 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
-from uvicorn.protocols.http.httptools_impl import (
-    HttpToolsProtocol,
-    RequestResponseCycle,
-)
-
 from dogwoodmast._asgi import send_response
 from dogwoodmast.joined_writes import JoinedWrites
+from dogwoodmast.plain_connection import PlainConnection
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, MutableMapping
 
+    from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
+
     from dogwoodmast._asgi import Receive, Scope, Send
 
 _CLOSE = (b'connection', b'close')
@@ -33,7 +31,7 @@
 """Number of reads from a connection that is about to end."""
 
 
-class CallerConnection(HttpToolsProtocol):
+class CallerConnection(PlainConnection):
     """Connection of a caller, which sends head and body of a response in one
     write."""
 
--- a/tests/test_caller_parser.py
+++ b/tests/test_caller_parser.py
@@ -65,13 +65,24 @@
             sending side is closed and the server has to end the connection.
         :return: Bytes received.
         """
+        return self.send_pieces([b''.join(parts)], responses)
+
+    def send_pieces(self, pieces: list[bytes], responses: int = 0) -> bytes:
+        """Send pieces on a new connection one by one and read the responses.
+
+        :param pieces: Pieces, each of which the server mostly reads by itself.
+        :param responses: Number of responses to wait for, as above.
+        :return: Bytes received.
+        """
         self.paths.clear()
         self.bodies.clear()
         server_address = (self.address.host, self.address.port)
         with socket.create_connection(
             server_address, SOCKET_TIMEOUT
         ) as connection:
-            connection.sendall(b''.join(parts))
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            for piece in pieces:
+                connection.sendall(piece)
             if not responses:
                 connection.shutdown(socket.SHUT_WR)
             received = _read(connection, responses)
@@ -103,6 +114,82 @@
         future.result()
 
 
+H2C_OFFER = (
+    b'Connection: Upgrade, HTTP2-Settings\r\n'
+    b'Upgrade: h2c\r\n'
+    b'HTTP2-Settings: AAEAAEAAAAIAAAABAAMAAABkAAQBAAAAAAUAAEAA\r\n'
+)
+WEBSOCKET_OFFER = b'Connection: upgrade\r\nUpgrade: websocket\r\n'
+FRAMED_BODIES = (
+    (b'Content-Length: %d\r\n' % len(SMUGGLED_REQUEST), SMUGGLED_REQUEST),
+    (
+        b'Transfer-Encoding: chunked\r\n',
+        b'%x\r\n%b\r\n0\r\n\r\n' % (len(SMUGGLED_REQUEST), SMUGGLED_REQUEST),
+    ),
+)
+"""Headers that frame a body which is itself a request, and the body as sent."""
+
+
+@pytest.mark.parametrize('offer', [H2C_OFFER, WEBSOCKET_OFFER])
+@pytest.mark.parametrize(('framing', 'body'), FRAMED_BODIES)
+@pytest.mark.parametrize('piece', [1, 7, CHUNK])
+def test_body_behind_an_offer_of_another_protocol_runs_as_a_request(
+    application: RecordingApplication,
+    offer: bytes,
+    framing: bytes,
+    body: bytes,
+    piece: int,
+) -> None:
+    """A server may ignore the offer, but not the body of the request.
+
+    Guards against requests that lose their bodies, which then run themselves.
+    """
+    head = b''.join((REQUEST_LINE, HOST_LINE, framing, offer, b'\r\n'))
+    sent = b''.join((head, body, b'GET /last HTTP/1.1\r\nHost: a\r\n\r\n'))
+    pieces = [sent[at : at + piece] for at in range(0, len(sent), piece)]
+    received = application.send_pieces(pieces, responses=2)
+    assert application.paths == ['/outer', '/last']
+    assert application.bodies == [SMUGGLED_REQUEST, b'']
+    assert received.count(b'HTTP/1.1 200') == 2
+
+
+@pytest.mark.parametrize('offer', [H2C_OFFER, WEBSOCKET_OFFER])
+def test_requests_without_a_body_may_offer_another_protocol(
+    application: RecordingApplication, offer: bytes
+) -> None:
+    """Each of several requests on a connection offers it."""
+    request = b''.join((b'GET /outer HTTP/1.1\r\n', HOST_LINE, offer, b'\r\n'))
+    received = application.send_bytes(request, request, request, responses=3)
+    assert application.paths == ['/outer', '/outer', '/outer']
+    assert received.count(b'HTTP/1.1 200') == 3
+
+
+@pytest.mark.parametrize(
+    'framing',
+    [
+        b'Content-Length: 2\r\nTransfer-Encoding: chunked\r\n',
+        b'Transfer-Encoding: chunked\r\n',
+    ],
+)
+def test_malformed_body_behind_an_offer_is_refused(
+    application: RecordingApplication, framing: bytes
+) -> None:
+    """The framing is checked as without the offer."""
+    head = b''.join((REQUEST_LINE, HOST_LINE, framing, H2C_OFFER, b'\r\n'))
+    received = application.send_bytes(head, b'x', SMUGGLED_REQUEST)
+    assert '/hidden' not in application.paths
+    assert received.startswith(b'HTTP/1.1 400')
+
+
+def test_nothing_is_read_behind_a_request_for_a_tunnel(
+    application: RecordingApplication,
+) -> None:
+    """What follows would be meant for the tunnel."""
+    connect = b'CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n'
+    application.send_bytes(connect, SMUGGLED_REQUEST)
+    assert '/hidden' not in application.paths
+
+
 content_lengths = st.sampled_from(
     [b'Content-Length: %d', b'content-length:%d', b'CONTENT-LENGTH: 0%d']
 )
