Await a release as long as requests may run, and not beyond the hold

What callers saw: on sites with long requests, keys that move stay closed longer.

Cause: the limit of 3.0 s was meant to cover the longest deadline, and was fixed. Since an answer to a probe frees no keys on which requests may run, such keys would wait for the hold.

The limit follows the longest timeout of the routes to the service, 3.0 s at least; no release is awaited beyond the hold, after which its keys are free anyway.

Evidence: test_release_gives_up_before_requests_end; the limit was 3.0 s in each of its cases before.

--- a/src/dogwoodmast/direct/catalog.py
+++ b/src/dogwoodmast/direct/catalog.py
@@ -92,6 +92,15 @@
     }
 
 
+def _longest_timeouts(table: RouteTable) -> dict[str, float]:
+    longest: dict[str, float] = {}
+    for route in table.routes:
+        for part in route.weighted_services:
+            known = longest.get(part.service, 0)
+            longest[part.service] = max(known, route.timeout)
+    return longest
+
+
 def _prefix_length(route: Route) -> int:
     return len(route.prefix)
 
@@ -114,6 +123,12 @@
         repr=False,
         default=attrs.Factory(_routes_by_host, takes_self=True),
     )
+    _longest_timeouts: Mapping[str, float] = attrs.field(
+        init=False,
+        eq=False,
+        repr=False,
+        default=attrs.Factory(_longest_timeouts, takes_self=True),
+    )
 
     def is_sharded(self, service: str) -> bool:
         """Tell whether a service's keys are held by single targets.
@@ -124,6 +139,14 @@
         known = self.services.get(service)
         return known is not None and known.sharded
 
+    def longest_timeout(self, service: str) -> float:
+        """Return the longest time that a caller of a service waits.
+
+        :param service: Name of the service.
+        :return: Time in seconds; 0 if no route leads to it.
+        """
+        return self._longest_timeouts.get(service, 0)
+
     def select(self, host: str, path: str) -> Route | None:
         """Match a request to a route.
 
--- a/src/dogwoodmast/direct/coordinator.py
+++ b/src/dogwoodmast/direct/coordinator.py
@@ -250,6 +250,7 @@
         listed = self._dependencies.directory.targets(now).values()
         known = self._dependencies.directory.known_targets()
         is_current = self._dependencies.directory.revision >= term.epoch
+        table = self._dependencies.directory.route_table
         for service in self._sharded_services():
             if service not in self._shard_coordinators:
                 shard_coordinator = self._make_shard_coordinator(service, term)
@@ -263,6 +264,7 @@
                 targets_of_service(listed, service),
                 targets_of_service(known, service),
                 is_current=is_current,
+                longest_work=table.longest_timeout(service) if table else 0,
             )
 
     def _make_shard_coordinator(
--- a/src/dogwoodmast/direct/grant_state_machine.py
+++ b/src/dogwoodmast/direct/grant_state_machine.py
@@ -59,6 +59,10 @@
 """Number of renewals within a hold.  When a coordinator loses the store, the
 rest of the hold carries the keys through an outage that lasts twice as long
 as the coordinator's lease."""
+RELEASE_TIMEOUT = 3.0
+"""Time limit for the answer to a release, in seconds, unless requests may run
+for longer or the hold expires before.  A target answers after the requests for
+the keys have ended."""
 PROBE_TIMEOUT = 0.6
 """Time limit for the answer to a probe, in seconds.  It is short, since a
 probe must not delay the keys once the target's hold has expired."""
@@ -128,6 +132,8 @@
     """Fencing token of the latest grant."""
     is_probe: bool = False
     """Whether the call only probes a target that did not answer before."""
+    timeout: float = RELEASE_TIMEOUT
+    """Time limit for the answer, in seconds."""
 
 
 TargetCall = GrantCall | ReleaseCall
@@ -187,6 +193,8 @@
         ),
     )
     """Source of fencing tokens."""
+    longest_work: float = 0
+    """Longest time for which a request may run at a target, in seconds."""
     freed: FreedKeysLog = attrs.field(factory=FreedKeysLog)
     """Keys that became free, for the log."""
     _targets: dict[str, Target] = attrs.field(factory=dict)
@@ -429,7 +437,7 @@
                 return self._grant(shard)
             case Phase.RELEASING if now >= shard.next_call_at:
                 target = self._last_known[shard.target, shard.born]
-                return ReleaseCall(shard, target, shard.fence)
+                return _make_release(shard, target, self.longest_work, now)
             case Phase.EXPIRING:
                 return self._advance_expiring(shard, now)
         return None
@@ -448,7 +456,9 @@
         if target is None or now < shard.next_call_at or would_delay_release:
             return None
         shard.next_call_at = now + PROBE_INTERVAL
-        return ReleaseCall(shard, target, shard.fence, is_probe=True)
+        return ReleaseCall(
+            shard, target, shard.fence, is_probe=True, timeout=PROBE_TIMEOUT
+        )
 
     def _advance_owned(self, shard: Shard, now: float) -> TargetCall | None:
         listed = self._targets.get(shard.target)
@@ -508,7 +518,7 @@
             return self._grant(shard)
         shard.phase = Phase.RELEASING
         target = self._last_known[shard.target, shard.born]
-        return ReleaseCall(shard, target, shard.fence)
+        return _make_release(shard, target, self.longest_work, now)
 
     def _grant(self, shard: Shard) -> GrantCall:
         shard.fence = self.fences.take()
@@ -564,6 +574,15 @@
             self._changed.append(shard)
 
 
+def _make_release(
+    shard: Shard, target: Target, longest_work: float, now: float
+) -> ReleaseCall:
+    """Make a release that is awaited until requests or the hold must end."""
+    work_limit = max(RELEASE_TIMEOUT, longest_work + ARRIVAL_MARGIN)
+    timeout = min(work_limit, max(PROBE_TIMEOUT, shard.held_until - now))
+    return ReleaseCall(shard, target, shard.fence, timeout=timeout)
+
+
 def _is_worth_granting(shard: Shard, hold: float, now: float) -> bool:
     """Tell whether another grant may free keys before their hold expires.
 
--- a/src/dogwoodmast/direct/shard_coordinator.py
+++ b/src/dogwoodmast/direct/shard_coordinator.py
@@ -188,13 +188,17 @@
         gone: list[Target],
         *,
         is_current: bool = True,
+        longest_work: float = 0,
     ) -> None:
         """Update the targets of the service.
 
         :param targets: Targets that are listed.
         :param gone: Targets that were listed at some time.
         :param is_current: Whether the listing is no older than the term.
+        :param longest_work: Longest time for which a request may run at a
+            target, in seconds.
         """
+        self._state_machine.longest_work = longest_work
         known = set(self._state_machine.targets)
         if {target.name for target in targets} - known:
             self._last_joined_at = self._clock.monotonic()
--- a/src/dogwoodmast/direct/target_control.py
+++ b/src/dogwoodmast/direct/target_control.py
@@ -24,7 +24,6 @@
 
 from dogwoodmast.direct.connection_pool import ConnectionPool
 from dogwoodmast.direct.grant_state_machine import (
-    PROBE_TIMEOUT,
     GrantAnswer,
     GrantCall,
     ReleaseCall,
@@ -50,10 +49,6 @@
 GRANT_TIMEOUT = 0.6
 """Time limit for the answer to a grant, in seconds; less than half of the usual
 pause between renewals (1.5 s), so that a lost one can be repeated in time."""
-RELEASE_TIMEOUT = 3.0
-"""Time limit for the answer to a release, in seconds.  A target answers after
-the running requests for the keys have ended, so the limit covers the longest
-deadlines of requests."""
 CONFIRMATION_TIMEOUT = 1.0
 """Time limit for the store's confirmation of a term before the first call on a
 connection, in seconds; a slow store takes up to 0.4 s for an answer, and
@@ -243,7 +238,7 @@
             timeout = GRANT_TIMEOUT
         case ReleaseCall():
             path, body = encode_release(shard.first, shard.last, request.fence)
-            timeout = PROBE_TIMEOUT if request.is_probe else RELEASE_TIMEOUT
+            timeout = request.timeout
     target = request.target
     headers = [
         (b'host', str(target.address).encode()),
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -23,6 +23,7 @@
 from dogwoodmast.direct.shard_coordinator import ShardCoordinator
 from dogwoodmast.key_value import Snapshot
 from dogwoodmast.store_position import make_position
+from guarded_vm import make_table
 
 if TYPE_CHECKING:
     from dogwoodmast.direct.directory import Directory
@@ -52,7 +53,9 @@
     is_impaired: bool = False
     """Whether the VM reaches fewer targets than others."""
     route_table: SimpleNamespace = attrs.field(
-        factory=lambda: SimpleNamespace(services={'solde': SERVICE})
+        factory=lambda: SimpleNamespace(
+            services={'solde': SERVICE}, longest_timeout=lambda _service: 0
+        )
     )
     """Configuration."""
 
@@ -164,6 +167,20 @@
     assert 0 < role.resignations <= most
 
 
+async def test_longest_timeout_of_a_service_is_that_of_any_of_its_routes() -> (
+    None
+):
+    """Requests of several routes run at the targets of a service."""
+    table = make_table(1)
+    route = table.routes[0]
+    longer = attrs.evolve(route, name='longer', timeout=route.timeout + 5)
+    shorter = attrs.evolve(route, name='shorter', timeout=route.timeout / 2)
+    table = attrs.evolve(table, routes=(route, longer, shorter))
+    service = route.weighted_services[0].service
+    assert table.longest_timeout(service) == longer.timeout
+    assert table.longest_timeout('unknown') == 0
+
+
 async def test_term_ends_when_the_copy_is_of_a_later_era() -> None:
     """Another VM has told of a restore, which has ended the lease.
 
--- a/tests/test_grant_state_machine.py
+++ b/tests/test_grant_state_machine.py
@@ -22,9 +22,11 @@
     FenceCounter,
 )
 from dogwoodmast.direct.grant_state_machine import (
+    ARRIVAL_MARGIN,
     CONFIRMATION_RETRY_INTERVAL,
     PROBE_INTERVAL,
     PROBE_TIMEOUT,
+    RELEASE_TIMEOUT,
     RENEWALS_PER_HOLD,
     GrantAnswer,
     GrantCall,
@@ -509,6 +511,37 @@
     assert holders_of(simulation) == {'t2'}
 
 
+@pytest.mark.parametrize(
+    ('work', 'hold_left', 'expected'),
+    [
+        (1.0, HOLD, RELEASE_TIMEOUT),
+        (4.0, HOLD, 4.0 + ARRIVAL_MARGIN),
+        (9.0, 5.0, 5.0),
+        (4.0, 0.1, PROBE_TIMEOUT),
+    ],
+)
+def test_release_gives_up_before_requests_end(
+    work: float, hold_left: float, expected: float
+) -> None:
+    """It is awaited as long as requests may run, but not beyond the hold.
+
+    Guards against keys of slow targets that stay closed until the hold expires,
+    since the answer to their release is not awaited.
+    """
+    simulation = make_started_simulation()
+    machine = simulation.current_term.machine
+    machine.longest_work = work
+    simulation.start_target('t2')
+    for shard in machine.shards:
+        shard.destination = 't2'
+        shard.held_until = simulation.now + hold_left
+    calls = machine.tick(simulation.now)
+    assert len(calls) == len(machine.shards)
+    for call in calls:
+        assert isinstance(call, ReleaseCall)
+        assert call.timeout == pytest.approx(expected)
+
+
 def test_keys_whose_release_is_never_answered_are_free_after_their_hold() -> (
     None
 ):
