Refuse and decline behind an offer as behind other heads

A request that was read whole got no answer, as a refused one behind it, which offered another protocol, closed the connection at once. With 700 offers in one read the connection broke without any answer.

Cause: a head whose framing is refused only as it is read again (such as "Transfer-Encoding: gzip") was refused a second time by the bytes behind it, and the second refusal does not wait for the responses before it. The bytes behind an offer were parsed by a nested call, up to the recursion limit.

The bytes are now parsed in a loop, which ends with the first refusal.

Evidence: test_refusal_behind_an_offer_drops_the_request_before_it and test_many_offers_in_one_read_break_the_connection failed before (400 without the 200 before it; 0 of 700 answers, "Fatal error: protocol.data_received() call failed").

--- a/src/dogwoodmast/plain_connection.py
+++ b/src/dogwoodmast/plain_connection.py
@@ -36,7 +36,12 @@
         :param chunk: Bytes that were read.
         """
         self._unset_keepalive_if_required()
-        self._parse(chunk)
+        try:
+            while chunk:
+                chunk = self._parse(chunk)
+        except httptools.HttpParserError:
+            self.logger.warning(_MALFORMED)
+            self.send_400_response(_MALFORMED)
 
     def on_message_begin(self) -> None:
         """Begin a request."""
@@ -80,24 +85,28 @@
             self.parser.should_upgrade() and self.scope['method'] != 'CONNECT'
         )
 
-    def _parse(self, chunk: bytes) -> None:
+    def _parse(self, chunk: bytes) -> bytes:
+        """Parse requests up to an offer of another protocol, and decline it.
+
+        :param chunk: Bytes that were read.
+        :return: Bytes behind the head with the offer that are to be parsed.
+        """
         try:
             self.parser.feed_data(chunk)
         except httptools.HttpParserUpgrade as offer:
-            self._decline(chunk[offer.args[0] :])
-        except httptools.HttpParserError:
-            self.logger.warning(_MALFORMED)
-            self.send_400_response(_MALFORMED)
+            return self._decline(chunk[offer.args[0] :])
+        return b''
 
-    def _decline(self, rest: bytes) -> None:
+    def _decline(self, rest: bytes) -> bytes:
         """Read on in HTTP/1.1 behind a head that offers another protocol.
 
         :param rest: Bytes behind the head.
+        :return: Bytes that are to be parsed.
         """
         if not self._is_offer():
             # No tunnel is opened, and what follows is meant for it.
             self.cycle.keep_alive = False
-            return
+            return b''
         framing = [
             b'%b: %b\r\n' % header
             for header in self.headers
@@ -106,7 +115,6 @@
         self.parser = httptools.HttpRequestParser(self)
         self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
         self._is_head_repeated = True
-        self._parse(b'POST / HTTP/1.1\r\n%b\r\n' % b''.join(framing))
+        self.parser.feed_data(b'POST / HTTP/1.1\r\n%b\r\n' % b''.join(framing))
         self._is_head_repeated = False
-        if not self.transport.is_closing():
-            self._parse(rest)
+        return rest
--- a/tests/test_caller_parser.py
+++ b/tests/test_caller_parser.py
@@ -29,6 +29,8 @@
 
     from dogwoodmast._asgi import Receive, Scope, Send
 
+MANY_REQUESTS = 700
+"""Number of requests, more than half of the interpreter's recursion limit."""
 CHUNK = 65_536
 """Maximum number of bytes per read from a socket."""
 SOCKET_TIMEOUT = 10
@@ -181,6 +183,31 @@
     assert received.startswith(b'HTTP/1.1 400')
 
 
+def test_refusal_behind_an_offer_drops_the_request_before_it(
+    application: RecordingApplication,
+) -> None:
+    """A request that was read whole is answered before the refusal."""
+    first = b'GET /first HTTP/1.1\r\nHost: a\r\n\r\n'
+    framing = b'Transfer-Encoding: gzip\r\n'
+    head = b''.join((REQUEST_LINE, HOST_LINE, framing, H2C_OFFER, b'\r\n'))
+    received = application.send_bytes(first, head, b'x')
+    assert application.paths == ['/first']
+    assert received.startswith(b'HTTP/1.1 200')
+    assert received.count(b'HTTP/1.1 400') == 1
+
+
+def test_many_offers_in_one_read_break_the_connection(
+    application: RecordingApplication,
+) -> None:
+    """Each is declined without a deeper call stack than the one before."""
+    request = b''.join(
+        (b'GET /outer HTTP/1.1\r\n', HOST_LINE, WEBSOCKET_OFFER, b'\r\n')
+    )
+    requests = request * MANY_REQUESTS
+    received = application.send_bytes(requests, responses=MANY_REQUESTS)
+    assert received.count(b'HTTP/1.1 200') == MANY_REQUESTS
+
+
 def test_nothing_is_read_behind_a_request_for_a_tunnel(
     application: RecordingApplication,
 ) -> None:
