Wait for own holds at least, whatever hold a record names

A target could hold keys that were granted to another one (OWNER).

Cause: the hold in the record replaced the coordinator's own one as the bound of earlier holds. The record may be older than the grants: a restore takes a longer hold back with it, and a term of a build that stores no hold may write nothing.

Now the longer of the two counts. Not covered: earlier holds that are longer than both.

--- a/src/dogwoodmast/direct/grant_state_machine.py
+++ b/src/dogwoodmast/direct/grant_state_machine.py
@@ -241,7 +241,9 @@
         :param grant_window: Time from now for which grant calls of earlier
             terms may still be in progress, in seconds.
         """
-        earlier_hold = record.hold or self.longest_hold
+        # Terms that a restore has undone, or of builds that store no hold, are
+        # taken to have granted for as long as this one.
+        earlier_hold = max(record.hold or self.longest_hold, self.hold)
         until = now + grant_window + max_hold_time(earlier_hold)
         for one in record.assignments:
             shard = Shard(one.first, one.last, one.target, one.born, one.fence)
--- a/src/dogwoodmast/direct/hold_bound.py
+++ b/src/dogwoodmast/direct/hold_bound.py
@@ -49,7 +49,7 @@
         """
         earlier = machine.hold
         if record is not None:
-            earlier = record.hold or machine.longest_hold
+            earlier = max(earlier, record.hold or machine.longest_hold)
         lasting = EARLIER_TERM_GRANT_WINDOW + max_hold_time(earlier)
         return cls(machine.hold, earlier, now + lasting)
 
--- a/tests/test_record_of_holds.py
+++ b/tests/test_record_of_holds.py
@@ -19,6 +19,7 @@
 from dogwoodmast.direct.shard_record import pack_record, unpack_record
 from dogwoodmast.errors import PlatformError
 from dogwoodmast.key_value import MISSING_REVISION, Expectation, Put
+from dogwoodmast.store_position import make_position
 from memory_platform import MemoryPlatform, SwapFault
 
 if TYPE_CHECKING:
@@ -74,16 +75,20 @@
 
 
 def make_coordinator(
-    store: MemoryPlatform, hold: float, clock: StandingClock
+    store: MemoryPlatform,
+    hold: float,
+    clock: StandingClock,
+    epoch: int = EPOCH,
 ) -> ShardCoordinator:
     """Make the coordinator of a term.
 
     :param store: Store.
     :param hold: Hold of its own grants, in seconds.
     :param clock: Clock.
+    :param epoch: Epoch of the term.
     :return: Coordinator that has not loaded the record.
     """
-    machine = GrantStateMachine(SERVICE, EPOCH, hold, longest_hold=LONGEST_HOLD)
+    machine = GrantStateMachine(SERVICE, epoch, hold, longest_hold=LONGEST_HOLD)
     role = SimpleNamespace(expectation=Expectation(COORDINATOR_KEY, EPOCH))
     return ShardCoordinator(
         machine,
@@ -168,3 +173,37 @@
     clock.now += EARLIER_TERM_GRANT_WINDOW + max_hold_time(LONG_HOLD) + margin
     await coordinator.record_assignments([])
     assert stored_hold(store, coordinator.key) == expected
+
+
+@pytest.mark.parametrize('recorded', [SHORT_HOLD, LONG_HOLD])
+async def test_keys_are_freed_by_the_shorter_hold_of_a_restored_record(
+    recorded: float,
+) -> None:
+    """A restore takes back the record of a longer hold, but no grants.
+
+    Guards against a shorter wait than for the coordinator's own holds.
+    """
+    store = await make_store(recorded)
+    clock = StandingClock()
+    restored_epoch = make_position(1, EPOCH)
+    coordinator = make_coordinator(store, LONG_HOLD, clock, restored_epoch)
+    await coordinator.load()
+    lasting = EARLIER_TERM_GRANT_WINDOW + max_hold_time(LONG_HOLD)
+    shards = coordinator._state_machine.shards
+    assert {one.held_until for one in shards} == {clock.now + lasting}
+
+
+async def test_term_that_stored_no_hold_is_bounded_by_the_record() -> None:
+    """A term of an earlier build wrote nothing after a later build.
+
+    Guards against a shorter wait than for the coordinator's own holds, which
+    are those of the other build too.
+    """
+    machine = GrantStateMachine(
+        SERVICE, EPOCH, LONG_HOLD, longest_hold=LONGEST_HOLD
+    )
+    assignments = (ShardAssignment(0, 65_535, 't1', 1, 1, True),)
+    machine.restore(
+        ShardRecord(SERVICE, 1, 1, assignments, SHORT_HOLD), 100.0, 3.0
+    )
+    assert machine.shards[0].held_until == 103 + max_hold_time(LONG_HOLD)
