Wait for the longest permitted hold if a record cannot be read

A target could hold keys that were granted to another one (OWNER).

Cause: a record without a hold counts as the longest one that the platform permits, but one that cannot be read at all counted as the coordinator's own hold. The build that stored it may grant keys for longer.

--- a/src/dogwoodmast/direct/hold_bound.py
+++ b/src/dogwoodmast/direct/hold_bound.py
@@ -38,16 +38,22 @@
 
     @classmethod
     def of(
-        cls, record: ShardRecord | None, machine: GrantStateMachine, now: float
+        cls,
+        record: ShardRecord | None,
+        machine: GrantStateMachine,
+        now: float,
+        *,
+        is_readable: bool = True,
     ) -> HoldBound:
         """Bound the holds of a term that begins.
 
         :param record: Stored record, or ``None`` if none can be used.
         :param machine: State machine of the term.
         :param now: Monotonic time in seconds.
+        :param is_readable: Whether the record can be read, or there is none.
         :return: Bound.
         """
-        earlier = machine.hold
+        earlier = machine.hold if is_readable else machine.longest_hold
         if record is not None:
             earlier = max(earlier, record.hold or machine.longest_hold)
         lasting = EARLIER_TERM_GRANT_WINDOW + max_hold_time(earlier)
--- a/src/dogwoodmast/direct/shard_coordinator.py
+++ b/src/dogwoodmast/direct/shard_coordinator.py
@@ -152,7 +152,12 @@
         is_restored = record is None or era_of(record.epoch) < era
         is_restored = is_restored and era > 0
         now = self._clock.monotonic()
-        self._holds = HoldBound.of(record, self._state_machine, now)
+        self._holds = HoldBound.of(
+            record,
+            self._state_machine,
+            now,
+            is_readable=found is None or record is not None,
+        )
         held_until = self._holds.earlier_until
         if record is not None and not is_restored:
             await self._store_longer_hold(record, now)
--- a/tests/test_record_of_holds.py
+++ b/tests/test_record_of_holds.py
@@ -207,3 +207,18 @@
         ShardRecord(SERVICE, 1, 1, assignments, SHORT_HOLD), 100.0, 3.0
     )
     assert machine.shards[0].held_until == 103 + max_hold_time(LONG_HOLD)
+
+
+async def test_keys_of_an_unreadable_record_are_freed_by_own_holds() -> None:
+    """The build that stored it may grant keys for longer.
+
+    Guards against bounding the holds of other builds by one's own setting.
+    """
+    store = await make_store(LONG_HOLD)
+    clock = StandingClock()
+    coordinator = make_coordinator(store, SHORT_HOLD, clock)
+    await store.swap((), (Put(coordinator.key, b'unreadable'),))
+    await coordinator.load()
+    lasting = EARLIER_TERM_GRANT_WINDOW + max_hold_time(LONGEST_HOLD)
+    shards = coordinator._state_machine.shards
+    assert {one.held_until for one in shards} == {clock.now + lasting}
