Claim the ports of a test run across processes

What was seen: a server or VM of a test did not start (SystemExit(3), "Address already in use") while other runs of the suite or soaks went on beside it.

Suspected cause: a port was found free by binding and closing it. A process beside it could find the same port before the server listened, or hold it for its own probe at that moment. That these runs failed for it was not shown.

Each process now claims blocks of 50 ports until it ends: a socket that is bound to the first port of a block and does not listen. It leaves no files, and the kernel ends it with the process. Each port is still bound before it is handed out, in random order; ports are used again after 40 blocks.

Ruled out: ports taken by outgoing connections (the ports lie below the ephemeral ones, which start at 32768 here).

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import itertools
+import atexit
 import json
 import os
-import random
-import socket
 import subprocess
 import sys
 import time
@@ -29,6 +27,7 @@
 from dogwoodmast.ledger import CLOCK_MARGIN
 from dogwoodmast.status import STATUS_PATH, StatusReport
 from dogwoodmast.vm_list import Vm, VmListing, VmRole, VmState
+from port_pool import HOST, PortPool
 from relay import Network, Relay
 
 if TYPE_CHECKING:
@@ -36,11 +35,7 @@
     import signal
     from collections.abc import Iterator
 
-HOST = '127.0.0.1'
 ZONES = ('plateau', 'pikine', 'almadies')
-FLEET_PORTS = range(10_000, 30_000)
-"""Ports to choose from; they lie below Linux's ephemeral ports, so outgoing
-connections do not take them."""
 READY_TIMEOUT = 20.0
 """Default time limit of requests, stops and waits, in seconds."""
 POLL_INTERVAL = 0.05
@@ -128,32 +123,22 @@
         return parsed
 
 
-_ports = itertools.cycle(
-    random.Random(f'{os.getpid()} {time.monotonic_ns()}').sample(
-        FLEET_PORTS, len(FLEET_PORTS)
-    )
-)
-"""Ports in the order in which this process uses them."""
+_pool = PortPool()
+"""Ports of this process, until it ends."""
+atexit.register(_pool.close)
 
 
 def free_addresses(count: int) -> list[Address]:
     """Find loopback addresses that no process uses.
 
-    No address is returned twice, also by later calls, until all others were:
-    what is to listen at an address may not do so yet when the next is found.
+    No address is returned twice, also by later calls, until all others of this
+    process were: what is to listen at an address may not do so yet when the
+    next is found.  Other processes find none of them until this one ends.
 
     :param count: Number of addresses.
     :return: Addresses with ports of ``FLEET_PORTS``.
     """
-    found: list[Address] = []
-    with ExitStack() as stack:
-        while len(found) < count:
-            candidate = stack.enter_context(socket.socket())
-            port = next(_ports)
-            with suppress(OSError):
-                candidate.bind((HOST, port))
-                found.append(Address(HOST, port))
-    return found
+    return [Address(HOST, port) for port in _pool.find(count)]
 
 
 def make_plan(
