--- a/tests/port_pool.py
+++ b/tests/port_pool.py
@@ -15,9 +15,9 @@
 connections do not take them."""
 BLOCK_SIZE = 50
 """Number of ports that are claimed together; the first one is the claim."""
-BLOCK_LIMIT = 40
+BLOCK_LIMIT = 100
 """Number of blocks that one pool claims before it uses its ports again; it
-leaves blocks to nine more processes."""
+leaves blocks to three more processes."""
 
 
 @attrs.define(eq=False)
