Grant keys again only once after a release without an answer

Keys could stay unserved for longer than a hold.

Cause: a release without an answer is followed by a probe, a grant and another release. If releases break at once each time, and probes are answered, each grant extends the hold before it runs out, without end.

Now the hold is waited out after the second such release.

Evidence: test_broken_releases_between_answered_probes_extend_the_hold failed before (keys still with the draining target after 14 s; the hold is 6 s).

--- a/src/dogwoodmast/direct/grant_state_machine.py
+++ b/src/dogwoodmast/direct/grant_state_machine.py
@@ -357,7 +357,9 @@
                 shard.delayed_grant_until = (
                     DISTANT_PAST if is_proven else now + self.max_hold_time
                 )
-                shard.may_finish_work &= not is_proven
+                if is_proven:
+                    shard.is_granted_again |= shard.may_finish_work
+                    shard.may_finish_work = False
                 self._on_accepted(shard, sent)
             case GrantAnswer.STALE_FENCE:
                 # A coordinator of a later epoch has granted the keys.
@@ -566,6 +568,7 @@
         shard.held_until = DISTANT_PAST
         shard.delayed_grant_until = DISTANT_PAST
         shard.may_finish_work = False
+        shard.is_granted_again = False
         shard.is_holder_replaced = False
         shard.handover = ''
         self._set_open(shard, is_open=False)
@@ -588,7 +591,9 @@
 def _is_worth_granting(shard: Shard, hold: float, now: float) -> bool:
     """Tell whether another grant may free keys before their hold expires.
 
-    It extends the hold, which is waited out if little is left of it.
+    It extends the hold, which is waited out if little is left of it, or if the
+    release after such a grant had no answer either.
     """
     is_hold_long = shard.held_until - now > hold / 2
-    return is_hold_long or now < shard.delayed_grant_until
+    is_first = not shard.is_granted_again
+    return (is_first and is_hold_long) or now < shard.delayed_grant_until
--- a/src/dogwoodmast/direct/shard.py
+++ b/src/dogwoodmast/direct/shard.py
@@ -68,6 +68,8 @@
     may_finish_work: bool = False
     """Whether requests from before a release that had no answer may still run
     at the target; a later release is no sign of their end."""
+    is_granted_again: bool = False
+    """Whether the target has accepted a grant after such a release."""
     next_call_at: float = DISTANT_PAST
     """Monotonic time in seconds of the next renewal or probe."""
     destination: str = NO_TARGET
--- a/tests/test_grant_state_machine.py
+++ b/tests/test_grant_state_machine.py
@@ -564,6 +564,27 @@
     assert holders_of(simulation) == {'t2'}
 
 
+def test_broken_releases_between_answered_probes_extend_the_hold() -> None:
+    """Each release breaks at once, and each probe and grant is answered.
+
+    Guards against grants that extend the hold again and again.
+    """
+    simulation = make_started_simulation()
+    started_at = simulation.now
+    simulation.start_target('t2')
+    simulation.start_draining('t1')
+    while simulation.now < started_at + 2 * (HOLD + PROBE_INTERVAL):
+        for _ in range(3):
+            simulation.step(lambda usable: usable[-1])
+            for one in tuple(simulation.pending):
+                if isinstance(one.call, ReleaseCall) and not one.call.is_probe:
+                    simulation.lose_answer(one)
+                else:
+                    simulation.answer(one)
+        simulation.now += PROBE_INTERVAL
+    assert holders_of(simulation) == {'t2'}
+
+
 def test_keys_of_a_zone_that_returns_are_served_at_once() -> None:
     """Targets of a zone that was cut off with the coordinator answer again.
 
