Show low tokens after a restore from before the first term

Not mended: the number from which eras are counted is stored with the first campaign of a build that knows it. A copy of the store from before, also from before an upgrade, lacks it, and a VM that starts after such a restore and campaigns first gives lower tokens than before (OWNER), if the store named 0 or nothing in its first era (2 of 3 cases).

--- a/tests/test_restored_terms.py
+++ b/tests/test_restored_terms.py
@@ -124,3 +124,23 @@
         await begin_term(store)
     revision -= 1
     assert (await begin_term(store)).epoch == make_position(era, revision)
+
+
+@pytest.mark.parametrize('era', [b'0', b'1', None])
+async def test_copy_from_before_the_first_term_makes_a_new_vm_give_low_tokens(
+    era: bytes | None,
+) -> None:
+    """The copy lacks the number from which the eras are counted."""
+    async with restorable(era) as (server, store):
+        copy = StoreCopy.of(server.content)
+        for _ in range(9):
+            server.content.write([], [])
+        highest = FenceCounter((await begin_term(store)).epoch).take()
+        server.restore(copy)
+        end_terms(server)
+        started = MetadataStore(store._http.address, SystemClock())
+        try:
+            later = await begin_term(started)
+        finally:
+            await started.aclose()
+        assert FenceCounter(later.epoch).take() > highest
