Wait until a removed listing is read before requests are counted

What was seen: test_odd_entry_ends_no_process_and_stops_no_following failed in some of its cases: the target whose listing was removed got more requests.

Cause: the test was wrong. After the removal it waited until all keys were served, which they are by the removed target until the VMs have read the removal, and counted at once. In a traced failure that pass ended 0.22 s after the removal, 0.01 s before the first VM applied it (0.13 s before the second), and the target got 2 requests more; in the cases that passed, the pass ended later than both.

The test now waits until a request for keys of all shards through each VM leaves the target without any, and then makes the same check as before: one more pass is served, and reaches the target no more. The limit is that of the wait before. The check was empty if the target held no keys; the test now asserts that it was used before.

Ruled out: RELIST_WINDOW, which was suspected. In all traced cases no window was open at the removal, and the old test passed in 4 of 4 cases with a window of 6 s as with one of 0 s. Ruled out too: that the wait hides a removal that is not followed; with a removal that is left out the test fails.

--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -214,6 +214,24 @@
             await anyio.sleep(0.1)
 
 
+async def wait_until_unused(fleet: DirectFleet, target: PlatformTarget) -> None:
+    """Wait until the keys of all shards are served without a target.
+
+    Until the VMs have read that its listing was removed, it serves its keys.
+
+    :param fleet: Running fleet.
+    :param target: Target whose listing was removed.
+    :raises TimeoutError: If that takes longer than ``TAKEOVER_TIME``.
+    """
+    count = -1
+    with anyio.fail_after(TAKEOVER_TIME):
+        while count != len(target.runs):
+            count = len(target.runs)
+            if await serve_all(fleet) != {OK}:
+                count = -1
+                await anyio.sleep(0.1)
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize(
     'changes',
@@ -229,8 +247,9 @@
         await fleet.wait_until_ready()
         put_entry(fleet, make_entry(**changes, sequence=2))
         await wait_until_served(fleet)
+        assert targets[1].runs
         fleet.unlist_target('t2')
-        await wait_until_served(fleet)
+        await wait_until_unused(fleet, targets[1])
         count = len(targets[1].runs)
         assert await serve_all(fleet) == {OK}
         assert len(targets[1].runs) == count
