Tell the address at which a server cannot listen

What was seen: a test whose server did not start failed with SystemExit(3), which names no address; an entry VM ended with exit code 3, documented as that of an invalid input file.

Cause: uvicorn logs the error of the address and exits. The error is raised now in its place: it has the errno and names the address, and the process ends with code 1, as it does for its address for links.

Which process holds the address is not told.

--- a/src/dogwoodmast/http_server.py
+++ b/src/dogwoodmast/http_server.py
@@ -43,6 +43,22 @@
         self._shutdown_requested = anyio.Event()
         self._closed = anyio.Event()
 
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Listen at the address.
+
+        Uvicorn's own method ends the process if it cannot, with an exit code
+        that has another meaning here.
+
+        :param sockets: Listening sockets, by default one for the address.
+        :raises OSError: If it cannot listen there; the text names the address.
+        """
+        try:
+            await super().startup(sockets)
+        except SystemExit as end:
+            if isinstance(end.__context__, OSError):
+                raise end.__context__ from None
+            raise
+
     async def main_loop(self) -> None:
         """Wait for :meth:`request_shutdown`.
 
