Bound heads and trailers while they arrive

Callers saw no answer or 503: heads, URLs and trailers without end, 20 at a time, took 234 to 1,194 MB of a VM that may have 160. The size of a head was checked once it was whole, and trailers were added to the headers of a request that was served.

A meter between transport and parser counts what arrives and what the parser reports. Beyond the limit the request is refused (431, not run) after the responses before it, and its connection ends. Trailers are dropped; they could have been forwarded as headers. A head at the limit is served.

Ruled out: empty lines before a request (the parser keeps nothing of them).

--- a/src/dogwoodmast/caller_connection.py
+++ b/src/dogwoodmast/caller_connection.py
@@ -9,29 +9,41 @@
 from __future__ import annotations
 
 import os
+import types
 from functools import partial
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
+from uvicorn.protocols.http.httptools_impl import STATUS_LINE
+
 from dogwoodmast._asgi import send_response
+from dogwoodmast.edge.bounded_connection import BoundedConnection
+from dogwoodmast.edge.connection_phase import EndReason
 from dogwoodmast.joined_writes import JoinedWrites
-from dogwoodmast.plain_connection import PlainConnection
+from dogwoodmast.problem import Problem, ProblemType
+from dogwoodmast.problem_response import problem_response
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, MutableMapping
+    from collections.abc import Awaitable, Callable, MutableMapping
 
     from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
     from dogwoodmast._asgi import Receive, Scope, Send
 
 _CLOSE = (b'connection', b'close')
+_REFUSALS = types.MappingProxyType(
+    {
+        EndReason.HEADER_BYTES: ProblemType.HEADER_TOO_LARGE,
+    }
+)
+"""Problem of a request that is refused while it is being read."""
 READ_BYTES = 65_536
 """Bytes that are read at a time from a connection that is about to end."""
 MAX_READS = 4
 """Number of reads from a connection that is about to end."""
 
 
-class CallerConnection(PlainConnection):
+class CallerConnection(BoundedConnection):
     """Connection of a caller, which sends head and body of a response in one
     write."""
 
@@ -53,8 +65,8 @@
         self._is_stopping = False
         # Whether a response has announced that it is the last one.
         self._is_ending = False
-        # Error that is told after the responses to the requests before it.
-        self._refusal: str | None = None
+        # Sends an error after the responses to the requests before it.
+        self._refusal: Callable[[], None] | None = None
 
     def connection_made(self, transport: Any) -> None:
         """Start to serve a connection.
@@ -68,24 +80,28 @@
 
         :param chunk: Bytes that were read.
         """
-        if self._is_ending or self._refusal is not None:
-            self.flow.pause_reading()
-        else:
+        if self._takes_more():
             super().data_received(chunk)
+        else:
+            self.flow.pause_reading()
 
     def send_400_response(self, msg: str) -> None:
         """Refuse a malformed request, after the responses before it.
 
         :param msg: Error, as text for the caller.
         """
-        if self._refusal is None and self._must_answer_first():
-            self._refusal = msg
-            self.flow.pause_reading()
-        elif self._refusal is None and self._has_begun():
-            # What is written here would be taken for a part of the response.
-            self.transport.close()
+        self._refuse(partial(super().send_400_response, msg))
+
+    def refuse(self, reason: EndReason) -> None:
+        """Refuse the request that is being read, and end the connection.
+
+        :param reason: Why it is refused.
+        """
+        refusal = _REFUSALS.get(reason)
+        if refusal is None:
+            self.end(reason)
         else:
-            super().send_400_response(msg)
+            self._refuse(partial(self._send_last, Problem(refusal)))
 
     def on_response_complete(self) -> None:
         """Start the next request that was read, or end the connection."""
@@ -94,7 +110,7 @@
         if not is_last or self.transport.is_closing():
             return
         if self._refusal is not None:
-            self.send_400_response(self._refusal)
+            self._refusal()
         elif self._is_stopping:
             self.shutdown()
 
@@ -111,6 +127,44 @@
         if not self._read_pending():
             super().timeout_keep_alive_handler()
 
+    def _takes_more(self) -> bool:
+        return (
+            not self._is_ending
+            and self._refusal is None
+            and super()._takes_more()
+        )
+
+    def _refuse(self, send: Callable[[], None]) -> None:
+        """Send a last response once those before it are complete.
+
+        :param send: Sends it and closes the connection.
+        """
+        if self._refusal is None and self._must_answer_first():
+            self._refusal = send
+            self.flow.pause_reading()
+        elif self._refusal is None and self._has_begun():
+            # What is written here would be taken for a part of the response.
+            self.transport.close()
+        else:
+            send()
+
+    def _send_last(self, problem: Problem) -> None:
+        """Send a problem, and close the connection.
+
+        :param problem: Problem of the request that is being read.
+        """
+        response = problem_response(problem)
+        headers = b''.join(
+            f'{header.name}: {header.value}\r\n'.encode()
+            for header in response.headers
+        )
+        length = f'content-length: {len(response.body)}\r\n'.encode()
+        head = STATUS_LINE[response.status] + headers + length
+        self.transport.write(
+            b'%bconnection: close\r\n\r\n%b' % (head, response.body)
+        )
+        self.transport.close()
+
     def _must_answer_first(self) -> bool:
         """Tell whether requests wait for their responses; forget a broken
         one."""
--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -38,6 +38,7 @@
 from dogwoodmast.direct.source_selector import SourceSelector
 from dogwoodmast.direct.sync_timing import SyncTiming
 from dogwoodmast.direct.target_set import TargetSet
+from dogwoodmast.direct.vm_edges import make_vm_edges
 from dogwoodmast.direct.vm_registration import (
     VmRegistration,
     is_list_certain,
@@ -46,10 +47,6 @@
     peer_addresses,
 )
 from dogwoodmast.events import Event, log_event
-from dogwoodmast.http_server import (
-    isolate_uvicorn_logger,
-    make_http_server,
-)
 from dogwoodmast.input_errors import InvalidInput
 from dogwoodmast.link_pool import LinkPool, serve_links
 from dogwoodmast.message_handlers import MessageHandlers
@@ -68,9 +65,6 @@
 FLUSH_DELAY = 0.1
 """Pause between the end of the last request and the end of the process, in
 seconds, in which the last responses are sent."""
-DEFAULT_KEEP_ALIVE = 15
-"""Idle timeout of callers' connections until a configuration sets one, in
-seconds."""
 
 
 class DirectVm:
@@ -145,15 +139,15 @@
             self._guard.freshness,
         )
         self._gateway.held_bytes.limit_by_memory(settings.memory)
-        self._server = make_http_server(
-            self._gateway, settings.listen.callers, DEFAULT_KEEP_ALIVE
+        self._edges = make_vm_edges()
+        self._server = self._edges.serve_callers(
+            self._gateway, settings.listen.callers
         )
         self._listed_targets: dict[str, bool] = {}
         self._changed = anyio.Event()
 
     async def run(self) -> None:
         """Serve until ``SIGTERM`` or ``SIGINT``, then stop gracefully."""
-        isolate_uvicorn_logger()
         async with AsyncExitStack() as stack:
             # Open until the end: by default, SIGHUP ends a process at once.
             signals = stack.enter_context(receive_signals(*WATCHED_SIGNALS))
@@ -245,7 +239,7 @@
             serve_links, listen.links, self._handlers, self._monitor.traffic
         )
         self._start_servers(tasks)
-        self._relaying.start(self._gateway, tasks)
+        self._relaying.start(self._gateway, tasks, self._edges.relay)
         for task in (
             sync,
             registration,
@@ -271,8 +265,8 @@
         listen = self._settings.listen
         self._add_gauges()
         self._room.add_gauges(self._metrics)
-        status = make_http_server(self._readiness, listen.readiness)
-        metrics = make_http_server(self._metrics, listen.metrics)
+        status = self._edges.serve_status(self._readiness, listen.readiness)
+        metrics = self._edges.serve_status(self._metrics, listen.metrics)
         for server in (self._server, status, metrics):
             tasks.start_soon(server.serve)
 
@@ -292,6 +286,7 @@
                 self._server.config.timeout_keep_alive = int(
                     table.limits.idle_time
                 )
+                self._edges.apply(table.limits)
                 self._log_target_changes(
                     {name: one.leaving for name, one in targets.items()}
                 )
--- a/src/dogwoodmast/direct/relaying.py
+++ b/src/dogwoodmast/direct/relaying.py
@@ -21,6 +21,7 @@
     from dogwoodmast.direct.gateway import DirectGateway
     from dogwoodmast.direct.settings import DirectSettings
     from dogwoodmast.direct.target_set import TargetSet
+    from dogwoodmast.edge.bounded_connection import ServerEdge
 
 IDLE_TIMEOUT = 15
 """Time after which an idle connection of another VM is closed, in seconds."""
@@ -69,11 +70,14 @@
         """Number of VMs that relay their requests through this one now."""
         return 0 if self._gateway is None else self._gateway.origins
 
-    def start(self, gateway: DirectGateway, tasks: TaskGroup) -> None:
+    def start(
+        self, gateway: DirectGateway, tasks: TaskGroup, edge: ServerEdge
+    ) -> None:
         """Start to probe targets, and to run requests of other VMs.
 
         :param gateway: Endpoint for the own callers.
         :param tasks: Task group of the process.
+        :param edge: Bounds of other VMs' connections.
         """
         tasks.start_soon(self._prober.run)
         if self._address is None:
@@ -82,7 +86,7 @@
             *gateway.parts, gateway.held_bytes, reach=self._targets.reach
         )
         self._server = make_http_server(
-            self._gateway, self._address, IDLE_TIMEOUT
+            self._gateway, self._address, IDLE_TIMEOUT, edge
         )
         tasks.start_soon(self._server.serve)
 
--- /dev/null
+++ b/src/dogwoodmast/edge/__init__.py
@@ -0,0 +1,1 @@
+"""Edge between clients' connections and the HTTP parser: what it bounds."""
--- /dev/null
+++ b/src/dogwoodmast/edge/connection_limits.py
@@ -0,0 +1,14 @@
+"""Limits on what one client's connection may send, and how long it may take."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class ConnectionLimits:
+    """Limits on one connection."""
+
+    header_bytes: int = 65_536
+    """Largest total size of the headers, or of the trailers, of a request, in
+    bytes; four bytes count for each besides its name and value."""
--- /dev/null
+++ b/src/dogwoodmast/edge/message_meter.py
@@ -0,0 +1,101 @@
+"""Meter of a request that arrives in pieces.
+
+The parser reports a header once it is whole, and keeps what it has of it until
+then.  The meter counts what has arrived as well as what was reported, so that
+neither one endless line nor endless lines are kept.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from dogwoodmast.edge.connection_phase import EndReason
+
+if TYPE_CHECKING:
+    from dogwoodmast._asgi import RawHeaders
+    from dogwoodmast.edge.connection_limits import ConnectionLimits
+
+FIELD_OVERHEAD_BYTES = 4
+"""Bytes of a header line besides name and value: colon, space, CR and LF."""
+LINE_ALLOWANCE = 65_536
+"""Bytes that may arrive besides the headers: the request line, and whitespace
+that is no part of a value."""
+
+
+class Stage(enum.Enum):
+    """Part of a request that is being read."""
+
+    BETWEEN = 'between'
+    """No request has begun; empty lines may have arrived."""
+    HEAD = 'head'
+    """Request line and headers."""
+    BODY = 'body'
+    """Body and trailers."""
+
+
+@attrs.define(eq=False)
+class MessageMeter:
+    """Counts the bytes of the request that is being read."""
+
+    stage: Stage = Stage.BETWEEN
+    """Part that is being read."""
+    unreported: int = 0
+    """Bytes that arrived since the start of the head, or since a part of the
+    body was reported."""
+    field_bytes: int = 0
+    """Size of the headers, or of the trailers, that were reported."""
+    fields: int = 0
+    """Number of these."""
+
+    def on_begin(self) -> None:
+        """Begin a head."""
+        self.stage = Stage.HEAD
+
+    def on_headers(self, headers: RawHeaders) -> None:
+        """Count the headers that were reported so far.
+
+        :param headers: Headers of the request that is being read.
+        """
+        for name, field in headers[self.fields :]:
+            self.on_field(name, field)
+
+    def on_field(self, name: bytes, field: bytes) -> None:
+        """Count a header or a trailer.
+
+        :param name: Name.
+        :param field: Value.
+        """
+        self.field_bytes += len(name) + len(field) + FIELD_OVERHEAD_BYTES
+        self.fields += 1
+
+    def on_head_end(self) -> None:
+        """Begin a body."""
+        self.stage = Stage.BODY
+        self.unreported = 0
+        self.field_bytes = 0
+        self.fields = 0
+
+    def on_body(self) -> None:
+        """Count from a part of the body on."""
+        self.unreported = 0
+
+    def on_end(self) -> None:
+        """Count from the end of a request on."""
+        self.stage = Stage.BETWEEN
+        self.unreported = 0
+        self.field_bytes = 0
+        self.fields = 0
+
+    def excess(self, limits: ConnectionLimits) -> EndReason | None:
+        """Tell which limit a request exceeds.
+
+        :param limits: Limits on the connection.
+        :return: Why it is refused, or ``None`` if it is within them.
+        """
+        allowed = limits.header_bytes + LINE_ALLOWANCE
+        if self.field_bytes > limits.header_bytes or self.unreported > allowed:
+            return EndReason.HEADER_BYTES
+        return None
--- a/src/dogwoodmast/http_server.py
+++ b/src/dogwoodmast/http_server.py
@@ -7,15 +7,17 @@
 from typing import TYPE_CHECKING
 
 import anyio
-from uvicorn.config import Config
 from uvicorn.server import Server
 
 from dogwoodmast.caller_connection import CallerConnection
+from dogwoodmast.edge.bounded_connection import EdgeConfig, ServerEdge
 
 if TYPE_CHECKING:
     import socket
     from collections.abc import Awaitable, Callable, Iterator
 
+    from uvicorn.config import Config
+
     from dogwoodmast._asgi import Receive, Scope, Send
     from dogwoodmast.address import Address
 
@@ -106,6 +108,7 @@
     application: Application,
     address: Address,
     idle_timeout: int = IDLE_TIMEOUT,
+    edge: ServerEdge | None = None,
 ) -> HttpServer:
     """Create a server for an ASGI application.
 
@@ -113,9 +116,12 @@
     :param address: Address to listen on.
     :param idle_timeout: Time after which an idle keep-alive connection is
         closed, in seconds.
+    :param edge: Bounds of the connections, by default those of a process that
+        has no other server.
     :return: Server that is not started yet.
     """
-    config = Config(
+    edge = edge or ServerEdge()
+    config = EdgeConfig(
         application,
         host=address.host,
         port=address.port,
@@ -130,4 +136,5 @@
         timeout_keep_alive=idle_timeout,
         timeout_graceful_shutdown=SHUTDOWN_TIMEOUT,
     )
+    config.edge = edge
     return HttpServer(config)
--- a/src/dogwoodmast/plain_connection.py
+++ b/src/dogwoodmast/plain_connection.py
@@ -14,6 +14,8 @@
 
 _FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 """Headers that tell where the body of a request ends."""
+Buffer = bytes | memoryview
+"""Bytes, or a view of them."""
 _MALFORMED = 'Invalid HTTP request received.'
 
 
@@ -36,9 +38,16 @@
         :param chunk: Bytes that were read.
         """
         self._unset_keepalive_if_required()
+        self.parse_requests(chunk)
+
+    def parse_requests(self, piece: Buffer) -> None:
+        """Parse a piece of what was read, and refuse it if it is malformed.
+
+        :param piece: Bytes, or a view of them.
+        """
         try:
-            while chunk:
-                chunk = self._parse(chunk)
+            while piece:
+                piece = self._parse(piece)
         except httptools.HttpParserError:
             self.logger.warning(_MALFORMED)
             self.send_400_response(_MALFORMED)
@@ -74,6 +83,10 @@
         """End the body of a request, unless it is yet to be read."""
         if not self._is_offer():
             super().on_message_complete()
+            self.on_request_end()
+
+    def on_request_end(self) -> None:
+        """Do nothing; called when a request has been read whole."""
 
     def _should_upgrade(self) -> bool:
         """Tell that no other protocol is spoken."""
@@ -85,7 +98,7 @@
             self.parser.should_upgrade() and self.scope['method'] != 'CONNECT'
         )
 
-    def _parse(self, chunk: bytes) -> bytes:
+    def _parse(self, chunk: Buffer) -> Buffer:
         """Parse requests up to an offer of another protocol, and decline it.
 
         :param chunk: Bytes that were read.
@@ -97,7 +110,7 @@
             return self._decline(chunk[offer.args[0] :])
         return b''
 
-    def _decline(self, rest: bytes) -> bytes:
+    def _decline(self, rest: Buffer) -> Buffer:
         """Read on in HTTP/1.1 behind a head that offers another protocol.
 
         :param rest: Bytes behind the head.
