End connections that finish no request in time

A client that sent nothing, or a header line, an empty line, a byte of a body or a trailer now and then, kept its connection for good: 0 of 40 were ended within 20 s, with header_timeout_s 1. header_time was read from the configuration and used nowhere.

A head counts from its first byte, or from the opening of the connection; a body has to arrive within the timeout of its route (408, not run), and must make progress; so must responses that are being read. A read is parsed in steps of 16 KiB, so that other connections get their turn.

--- a/src/dogwoodmast/caller_connection.py
+++ b/src/dogwoodmast/caller_connection.py
@@ -34,6 +34,7 @@
 _REFUSALS = types.MappingProxyType(
     {
         EndReason.HEADER_BYTES: ProblemType.HEADER_TOO_LARGE,
+        EndReason.HEADER_TIME: ProblemType.REQUEST_TIMEOUT,
     }
 )
 """Problem of a request that is refused while it is being read."""
--- a/src/dogwoodmast/direct/daemon.py
+++ b/src/dogwoodmast/direct/daemon.py
@@ -139,7 +139,7 @@
             self._guard.freshness,
         )
         self._gateway.held_bytes.limit_by_memory(settings.memory)
-        self._edges = make_vm_edges()
+        self._edges = make_vm_edges(settings.memory, settings.descriptors)
         self._server = self._edges.serve_callers(
             self._gateway, settings.listen.callers
         )
@@ -265,6 +265,7 @@
         listen = self._settings.listen
         self._add_gauges()
         self._room.add_gauges(self._metrics)
+        self._edges.add_gauges(self._metrics)
         status = self._edges.serve_status(self._readiness, listen.readiness)
         metrics = self._edges.serve_status(self._metrics, listen.metrics)
         for server in (self._server, status, metrics):
--- a/src/dogwoodmast/direct/gateway.py
+++ b/src/dogwoodmast/direct/gateway.py
@@ -25,6 +25,7 @@
 from dogwoodmast.direct.rejections import STOP_RETRY_DELAY
 from dogwoodmast.direct.relay_protocol import RELAY_HEADERS, RelayedRequest
 from dogwoodmast.direct.trace import RequestLog, Trace
+from dogwoodmast.edge.message_meter import announced_length
 from dogwoodmast.platform.headers import (
     REPLACED_HEADERS,
     RequestFields,
@@ -53,6 +54,7 @@
 _NEVER_FORWARDED = (
     HOP_BY_HOP_HEADERS | REPLACED_HEADERS | RELAY_HEADERS | {b'expect'}
 )
+_FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 _BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
@@ -165,9 +167,10 @@
             return
         with self._bytes.open(selected.route.priority) as held:
             try:
-                body = await _read_body(
-                    scope, receive, selected.table.limits, held
-                )
+                with _limited_read(scope, selected.route):
+                    body = await _read_body(
+                        scope, receive, selected.table.limits, held
+                    )
                 call = self._callers.with_number(
                     self._make_call(scope, selected, body, arrived_at), scope
                 )
@@ -395,6 +398,25 @@
         raise RequestRejected(Problem(ProblemType.HEADER_TOO_LARGE))
 
 
+@contextlib.contextmanager
+def _limited_read(scope: Scope, route: Route) -> Iterator[None]:
+    """Reject a request whose body arrives too late for it to be run.
+
+    A request without a body has arrived whole, and needs no time limit.
+    """
+    headers = scope['headers']
+    if not any(name in _FRAMING_HEADERS for name, _ in headers):
+        yield
+        return
+    timeout = _request_timeout(parse_request_headers(headers), route)
+    try:
+        with anyio.fail_after(timeout):
+            yield
+    except TimeoutError as error:
+        late = Problem(ProblemType.REQUEST_TIMEOUT)
+        raise RequestRejected(late) from error
+
+
 async def _read_body(
     scope: Scope, receive: Receive, limits: CallerLimits, held: HeldBytes
 ) -> bytes:
@@ -413,9 +435,9 @@
     scope: Scope, limits: CallerLimits, held: HeldBytes
 ) -> None:
     """Reject a request whose announced body is too large, before reading."""
-    for name, field in scope['headers']:
-        if name == b'content-length' and field.isdigit():
-            _check_size(int(field), limits, held)
+    length = announced_length(scope['headers'])
+    if length:
+        _check_size(length, limits, held)
 
 
 def _check_size(size: int, limits: CallerLimits, held: HeldBytes) -> None:
--- a/src/dogwoodmast/direct/settings.py
+++ b/src/dogwoodmast/direct/settings.py
@@ -104,6 +104,8 @@
     """Price of traffic between availability zones."""
     memory: float = 0
     """Memory of the VM in megabytes, 0 if not known."""
+    descriptors: float = 0
+    """Descriptors that the process may have, 0 if not known."""
     regions: Mapping[str, str] = attrs.field(factory=dict)
     """Region of each availability zone; empty if not known."""
 
@@ -167,8 +169,13 @@
         for name in ('link_mbps', 'cpu_share', 'cores')
     ]
     memory = reader.read('memory_mb', _NON_NEGATIVE, 0)
+    descriptors = reader.read('descriptors', _NON_NEGATIVE, 0)
     reader.finish()
-    return {'capacity': float(math.prod(factors)), 'memory': memory}
+    return {
+        'capacity': float(math.prod(factors)),
+        'memory': memory,
+        'descriptors': descriptors,
+    }
 
 
 def _read_zones(root: TableReader) -> ZonePrices:
--- a/src/dogwoodmast/edge/bounded_connection.py
+++ b/src/dogwoodmast/edge/bounded_connection.py
@@ -1,4 +1,4 @@
-"""Connection of a client, bounded in what it sends and keeps.
+"""Connection of a client, bounded in what it sends, keeps and waits for.
 
 Bytes are passed to the parser in small pieces, so that one read makes only a
 few requests; the rest of it waits, and reading is paused, until these are
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -14,6 +15,16 @@
 from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT
 
 from dogwoodmast.edge.connection_limits import ConnectionLimits
+from dogwoodmast.edge.connection_phase import (
+    EndReason,
+    Unread,
+    time_limit,
+)
+from dogwoodmast.edge.connection_table import (
+    UNCOUNTED_BYTES,
+    ConnectionTable,
+)
+from dogwoodmast.edge.connection_times import ConnectionTimes
 from dogwoodmast.edge.gated_flow import GatedFlow
 from dogwoodmast.edge.hang_up import has_hung_up
 from dogwoodmast.edge.message_meter import (
@@ -28,13 +39,21 @@
 
     from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
-    from dogwoodmast.edge.connection_phase import EndReason
+
+STEP_BYTES = 16_384
+"""Bytes that one connection parses in a step of the event loop."""
+_DROPPING_REASONS = frozenset(
+    (EndReason.MEMORY, EndReason.STALLED, EndReason.CONNECTIONS)
+)
+"""Reasons for which bytes that a client has not read are dropped."""
 
 
 @attrs.define(eq=False)
 class ServerEdge:
     """What all connections of one server have in common."""
 
+    table: ConnectionTable
+    """Open connections of the process."""
     limits: ConnectionLimits = attrs.field(factory=ConnectionLimits)
     """Limits on each connection."""
 
@@ -69,6 +88,11 @@
         self._pending = memoryview(b'')
         # Request that is served, or was served last.
         self._running: RequestResponseCycle | None = None
+        # Memory of each request that is parsed and whose response is not sent.
+        self._request_memory: deque[int] = deque()
+        self._times = ConnectionTimes(self.loop.time())
+        # Whether the table counts what the connection holds.
+        self._is_counted = False
 
     def connection_made(self, transport: Any) -> None:
         """Start to serve a connection.
@@ -77,12 +101,14 @@
         """
         super().connection_made(transport)
         self.flow = GatedFlow(transport, self)
+        self._edge.table.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End what the connection has begun, and drop what it has queued.
 
         :param exc: Error that ended the connection, if any.
         """
+        self._edge.table.remove(self)
         self.pipeline.clear()
         self._pending = memoryview(b'')
         running = self._running
@@ -96,6 +122,7 @@
 
         :param chunk: Bytes that were read.
         """
+        self._times.read_at = self.loop.time()
         self._unset_keepalive_if_required()
         if self._pending or self.pipeline or len(chunk) > HEAD_PIECE_BYTES:
             self._pending = memoryview(b''.join((self._pending, chunk)))
@@ -103,12 +130,14 @@
             self.flow.pause_reading()
         else:
             self._parse_piece(chunk)
+        self._update_memory()
 
     def on_message_begin(self) -> None:
         """Begin a request."""
         super().on_message_begin()
         if not self._is_head_repeated:
             self._meter.on_begin()
+            self._times.on_head_bytes()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header of a request; trailers are dropped.
@@ -124,7 +153,11 @@
     def on_headers_complete(self) -> None:
         """Start to serve a request, or queue it."""
         if not self._is_head_repeated:
+            self._request_memory.append(
+                self._meter.request_memory(len(self.headers))
+            )
             self._meter.on_head_end()
+            self._times.head_since = None
         super().on_headers_complete()
 
     def on_body(self, body: bytes) -> None:
@@ -141,21 +174,73 @@
 
     def on_response_complete(self) -> None:
         """Start the next request that was read."""
+        if self._request_memory:
+            self._request_memory.popleft()
+        self._times.on_response(self.loop.time())
         if self.flow.read_paused and has_hung_up(self.transport):
             self.transport.abort()
         super().on_response_complete()
+        if not self.is_served:
+            self._edge.table.on_waiting(self)
+        self._update_memory()
+
+    def resume_writing(self) -> None:
+        """Go on to send, since the client has read what was sent."""
+        super().resume_writing()
+        self._update_memory()
+
+    def check_time(self, now: float) -> None:
+        """End the connection if it has exceeded a time limit.
+
+        :param now: Monotonic time of the event loop, in seconds.
+        """
+        if self.flow.read_paused and has_hung_up(self.transport):
+            self.transport.abort()
+            return
+        times = self._times
+        times.check_unread(
+            now,
+            self.transport.written,  # type: ignore[attr-defined]
+            self.transport.get_write_buffer_size(),
+        )
+        stage = self._meter.stage
+        phase = times.phase(
+            stage, is_served=self.is_served, is_paused=self.flow.read_paused
+        )
+        limit = time_limit(phase, self._edge.limits)
+        is_unread = isinstance(phase, Unread)
+        if now < limit.ends_at or self.transport.is_closing() > is_unread:
+            return
+        if limit.reason is EndReason.IDLE_TIME:
+            self.timeout_keep_alive_handler()
+            return
+        self._edge.table.count(limit.reason)
+        if stage is Stage.HEAD and not is_unread:
+            self.refuse(limit.reason)
+        else:
+            self.end(limit.reason)
 
-    def end(self, _reason: EndReason) -> None:
+    def end(self, reason: EndReason) -> None:
         """End the connection.
 
-        :param _reason: Why it is ended.
+        :param reason: Why it is ended.
         """
         self._pending = memoryview(b'')
-        self.transport.close()
+        if reason in _DROPPING_REASONS:
+            self.transport.abort()
+        else:
+            self.transport.close()
 
     def parse_pending(self) -> None:
-        """Parse what has been read, as far as the connection takes it."""
+        """Parse what has been read, as far as the connection takes it.
+
+        The rest is parsed in later steps of the event loop if it is long.
+        """
+        until = len(self._pending) - STEP_BYTES
         while self._pending and self._takes_more() and not self._is_full():
+            if len(self._pending) <= until:
+                self.loop.call_soon(self.flow.resume_reading)
+                return
             size = self._meter.piece_size(len(self._pending), self.headers)
             piece = self._pending[:size]
             self._pending = self._pending[size:]
@@ -184,6 +269,7 @@
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
         self._running = cycle
+        self._edge.table.on_served(self)
         super()._start_asgi_task(cycle, app)
 
     def _parse_piece(self, piece: Buffer) -> None:
@@ -192,14 +278,20 @@
         :param piece: Bytes that hold the heads of few requests.
         """
         meter = self._meter
-        meter.unreported += len(piece)
+        if meter.stage is Stage.BODY:
+            meter.on_body_bytes(len(piece), is_discarded=not self.is_served)
+        else:
+            meter.unreported += len(piece)
+            self._times.on_head_bytes()
         self.parse_requests(piece)
-        if not meter.unreported or not self._takes_more():
+        has_open_part = meter.unreported or meter.discarded
+        if not has_open_part or not self._takes_more():
             return
         if meter.stage is Stage.HEAD:
             meter.on_headers(self.headers)
         excess = meter.excess(self._edge.limits)
         if excess is not None:
+            self._edge.table.count(excess)
             self.refuse(excess)
 
     def _is_full(self) -> bool:
@@ -215,6 +307,23 @@
             or _queued_bytes(self.pipeline) > limits.bytes_ahead
         )
 
+    def _update_memory(self) -> None:
+        """Record what the connection holds.
+
+        Bodies of the request that is served and of its response are counted
+        where they are served.
+        """
+        held = sum(self._request_memory)
+        if self._pending or self._meter.unreported:
+            held += len(self._pending) + self._meter.memory
+        if self.pipeline:
+            held += _queued_bytes(self.pipeline)
+        if self.flow.write_paused and not self.is_served:
+            held += self.transport.get_write_buffer_size()
+        if held > UNCOUNTED_BYTES or self._is_counted:
+            self._is_counted = held > UNCOUNTED_BYTES
+            self._edge.table.hold(self, held)
+
 
 def _queued_bytes(pipeline: Iterable[tuple[RequestResponseCycle, Any]]) -> int:
     return sum(len(queued.body) for queued, _app in pipeline)
--- a/src/dogwoodmast/edge/message_meter.py
+++ b/src/dogwoodmast/edge/message_meter.py
@@ -20,6 +20,10 @@
 
 FIELD_OVERHEAD_BYTES = 4
 """Bytes of a header line besides name and value: colon, space, CR and LF."""
+FIELD_MEMORY = 160
+"""Memory that the objects of one header take besides its bytes."""
+REQUEST_MEMORY = 4096
+"""Memory that the objects of one request take besides its headers and body."""
 HEAD_PIECE_BYTES = 512
 """Bytes that are parsed at a time where heads may follow one another."""
 BODY_PIECE_BYTES = 65_536
@@ -55,6 +59,35 @@
     """Number of these."""
     body_bytes: int = 0
     """Size of the parts of the body that were reported."""
+    discarded: int = 0
+    """Bytes of the body that arrived after its response."""
+
+    @property
+    def memory(self) -> int:
+        """Estimate of the memory that an unfinished head takes, in bytes."""
+        if self.stage is Stage.BODY:
+            return 0
+        return self.unreported + self.fields * FIELD_MEMORY
+
+    def request_memory(self, fields: int) -> int:
+        """Estimate the memory that a request takes without its body.
+
+        Its head has just been read.
+
+        :param fields: Number of its headers.
+        :return: Size in bytes.
+        """
+        return REQUEST_MEMORY + self.unreported + fields * FIELD_MEMORY
+
+    def on_body_bytes(self, count: int, *, is_discarded: bool) -> None:
+        """Count bytes of a body or trailers that are about to be parsed.
+
+        :param count: Number of bytes.
+        :param is_discarded: Whether the response to their request is complete.
+        """
+        self.unreported += count
+        if is_discarded:
+            self.discarded += count
 
     def on_begin(self) -> None:
         """Begin a head."""
@@ -100,6 +133,7 @@
         self.body_bytes = 0
         self.field_bytes = 0
         self.fields = 0
+        self.discarded = 0
 
     def piece_size(self, available: int, headers: RawHeaders) -> int:
         """Return how many bytes may be parsed at once.
@@ -122,6 +156,8 @@
         allowed = limits.header_bytes + LINE_ALLOWANCE
         if self.field_bytes > limits.header_bytes or self.unreported > allowed:
             return EndReason.HEADER_BYTES
+        if self.discarded > limits.body_bytes:
+            return EndReason.DISCARDED_BYTES
         return None
 
 
--- a/src/dogwoodmast/events.py
+++ b/src/dogwoodmast/events.py
@@ -29,6 +29,7 @@
     SETTINGS_REJECTED = (104, logbook.ERROR)
     EVENT_LOOP_LATE = (105, logbook.WARNING)
     REQUESTS_STOPPED = (106, logbook.WARNING)
+    CONNECTIONS_ENDED = (107, logbook.WARNING)
     CONFIGURATION_IN_FORCE = (200, logbook.INFO)
     CONFIGURATION_STALE = (201, logbook.WARNING)
     ZONE_EVACUATED = (210, logbook.INFO)
--- a/src/dogwoodmast/http_server.py
+++ b/src/dogwoodmast/http_server.py
@@ -11,6 +11,7 @@
 
 from dogwoodmast.caller_connection import CallerConnection
 from dogwoodmast.edge.bounded_connection import EdgeConfig, ServerEdge
+from dogwoodmast.edge.connection_table import make_connection_table
 
 if TYPE_CHECKING:
     import socket
@@ -120,7 +121,7 @@
         has no other server.
     :return: Server that is not started yet.
     """
-    edge = edge or ServerEdge()
+    edge = edge or ServerEdge(make_connection_table())
     config = EdgeConfig(
         application,
         host=address.host,
@@ -135,6 +136,7 @@
         proxy_headers=False,
         timeout_keep_alive=idle_timeout,
         timeout_graceful_shutdown=SHUTDOWN_TIMEOUT,
+        backlog=edge.table.accept_limit,
     )
     config.edge = edge
     return HttpServer(config)
--- a/src/dogwoodmast/problem.py
+++ b/src/dogwoodmast/problem.py
@@ -68,6 +68,8 @@
         HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
     )
     """The request headers are larger than the limit."""
+    REQUEST_TIMEOUT = ('request-timeout', HTTPStatus.REQUEST_TIMEOUT)
+    """The request did not arrive within its time limit."""
     BODY_TOO_LARGE = (
         'body-too-large',
         HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
