Bound the number of connections and what they hold together

300 clients that sent nothing, or little, took all 256 descriptors of a VM: ordinary requests got no answer. Nothing bounded the memory of all connections together.

Callers' connections take half of the descriptors at most (the operating system's limit, or the setting capacity.descriptors, which the template fills in); a new one ends the one that has waited longest for a request. What they hold besides served bodies is bounded by an eighth of the VM's memory; those that hold most are ended first. Each reason has a metric, and a log line (CONNECTIONS_ENDED, 107) once a second at most.

--- a/src/dogwoodmast/edge/connection_table.py
+++ b/src/dogwoodmast/edge/connection_table.py
@@ -98,8 +98,16 @@
     def add(self, connection: Connection) -> None:
         """Add a connection that has been opened.
 
+        If there are too many, the one that has waited longest for a request is
+        ended, or the new one if all others are served.
+
         :param connection: New connection, which waits for a request.
         """
+        if len(self._open) >= self.connection_limit:
+            oldest = next(iter(self._waiting), connection)
+            self._end(oldest, EndReason.CONNECTIONS)
+            if oldest is connection:
+                return
         self._open[connection] = None
         self._waiting[connection] = None
         self._watch()
@@ -131,6 +139,8 @@
     def hold(self, connection: Connection, count: int) -> None:
         """Record how many bytes a connection holds.
 
+        If all hold too many, those that hold most are ended.
+
         :param connection: Connection.
         :param count: Number of bytes.
         """
@@ -143,6 +153,9 @@
         else:
             self._holdings.pop(connection)
         self.held += counted - known
+        while self.held > self.byte_limit and self._holdings:
+            largest = max(self._holdings, key=self._holdings.__getitem__)
+            self._end(largest, EndReason.MEMORY)
 
     def count(self, reason: EndReason) -> None:
         """Count a connection that has ended itself, or refused a request.
@@ -160,6 +173,11 @@
             connection.check_time(now)
         self._log()
 
+    def _end(self, connection: Connection, reason: EndReason) -> None:
+        self.remove(connection)
+        self.count(reason)
+        connection.end(reason)
+
     def _watch(self) -> None:
         if self._timer is None:
             loop = asyncio.get_running_loop()
