Answer what was read before a refusal also to a client that sends no more

test_caller_parser.py::test_refusal_behind_an_offer_drops_the_request_before_it: a client that sent a request, a malformed one behind it, and the end of its sending got no answer at all. A look for clients that have left, made while reading is paused, took the end of sending for that; reading is paused behind a refused request too.

The look is left out once a request was refused or the last response announced. Where reading goes on, the end of sending ends the connection as before.

--- a/src/dogwoodmast/edge/bounded_connection.py
+++ b/src/dogwoodmast/edge/bounded_connection.py
@@ -26,7 +26,6 @@
 )
 from dogwoodmast.edge.connection_times import ConnectionTimes
 from dogwoodmast.edge.gated_flow import GatedFlow
-from dogwoodmast.edge.hang_up import has_hung_up
 from dogwoodmast.edge.message_meter import (
     HEAD_PIECE_BYTES,
     MessageMeter,
@@ -100,7 +99,7 @@
         :param transport: Transport of the connection.
         """
         super().connection_made(transport)
-        self.flow = GatedFlow(transport, self)
+        self.flow: GatedFlow = GatedFlow(transport, self)
         self._edge.table.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -177,7 +176,7 @@
         if self._request_memory:
             self._request_memory.popleft()
         self._times.on_response(self.loop.time())
-        if self.flow.read_paused and has_hung_up(self.transport):
+        if self._takes_more() and self.flow.has_hung_up():
             self.transport.abort()
         super().on_response_complete()
         if not self.is_served:
@@ -194,7 +193,7 @@
 
         :param now: Monotonic time of the event loop, in seconds.
         """
-        if self.flow.read_paused and has_hung_up(self.transport):
+        if self._takes_more() and self.flow.has_hung_up():
             self.transport.abort()
             return
         times = self._times
--- a/src/dogwoodmast/edge/gated_flow.py
+++ b/src/dogwoodmast/edge/gated_flow.py
@@ -6,6 +6,8 @@
 
 from uvicorn.protocols.http.flow_control import FlowControl
 
+from dogwoodmast.edge.hang_up import has_hung_up
+
 
 class ReadGate(Protocol):
     """Connection that tells how far it takes what is read."""
@@ -47,3 +49,10 @@
         self._gate.parse_pending()
         if self._gate.may_read():
             super().resume_reading()
+
+    def has_hung_up(self) -> bool:
+        """Tell whether the other side has left while no bytes are read.
+
+        :return: Whether it has; the end does not show by itself then.
+        """
+        return self.read_paused and has_hung_up(self._transport)
