Start one request at a time behind a quick response

test_two_requests_run_at_once_behind_a_quick_response saw a third request begin while the second was served, so that their responses could change places; the client would take one request's answer for another's. test_connection_is_idle_while_a_request_runs saw the connection closed after idle_timeout_s, without the answer to a request that was still served. Both failed on both event loops.

Cause: at the end of a response the server resumes reading, then starts the request that has waited longest. Resuming now parses what was read before, so that a request could start there, and the next one be queued and started beside it. That needs bytes that were not parsed behind the request: more than one step of 16 KiB, or a body of which more than 64 KiB waited. The idle timer was set after that, or before a later step, and only a read cancelled it.

Nothing is parsed until the request that waited has started, then parsing goes on; each start of a request cancels the idle timer.

--- a/src/dogwoodmast/edge/bounded_connection.py
+++ b/src/dogwoodmast/edge/bounded_connection.py
@@ -91,6 +91,8 @@
         # Memory of each request that is parsed and whose response is not sent.
         self._request_memory: deque[int] = deque()
         self._times = ConnectionTimes(self.loop.time())
+        # Whether a response has ended and no other request is chosen yet.
+        self._is_between_requests = False
         # Whether the table counts what the connection holds.
         self._is_counted = False
 
@@ -179,7 +181,11 @@
         self._times.on_response(self.loop.time())
         if self.flow.read_paused and has_hung_up(self.transport):
             self.transport.abort()
+        # A request that is parsed here would start beside the one that waits.
+        self._is_between_requests = True
         super().on_response_complete()
+        self._is_between_requests = False
+        self.flow.resume_reading()
         if not self.is_served:
             self._edge.table.on_waiting(self)
         self._update_memory()
@@ -268,6 +274,8 @@
         return not self.transport.is_closing()
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        # It may have been parsed after the timer was set.
+        self._unset_keepalive_if_required()
         self._running = cycle
         self._edge.table.on_served(self)
         super()._start_asgi_task(cycle, app)
@@ -296,6 +304,8 @@
 
     def _is_full(self) -> bool:
         """Tell whether as much has been parsed as may wait."""
+        if self._is_between_requests:
+            return True
         cycle = self.cycle
         if cycle is None or cycle.response_complete:
             return False
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -13,7 +13,7 @@
 
 from direct_fleet import free_address
 from dogwoodmast._asgi import send_response
-from dogwoodmast.edge.bounded_connection import ServerEdge
+from dogwoodmast.edge.bounded_connection import STEP_BYTES, ServerEdge
 from dogwoodmast.edge.connection_limits import ConnectionLimits
 from dogwoodmast.edge.connection_phase import EndReason
 from dogwoodmast.edge.connection_table import ConnectionTable
@@ -70,7 +70,7 @@
         path = scope['path']
         self.began.append(path)
         body = bytearray()
-        has_more = not self.answers_early
+        has_more = not (self.answers_early or path == '/early')
         while has_more:
             message = await receive()
             if message['type'] == 'http.disconnect':
@@ -248,6 +248,33 @@
     assert bodies == [path.encode() for path in (*paths, '/last')]
 
 
+async def test_two_requests_run_at_once_behind_a_quick_response(
+    server: BoundedServer,
+) -> None:
+    """What follows the first one exceeds a step of parsing."""
+    client = await server.connect()
+    long = '/wait?%s' % ('x' * (STEP_BYTES + 1000))
+    client.writer.write(get('/early') + get(long) + get('/next', LAST))
+    await asyncio.sleep(SETTLING_TIME)
+    assert server.application.began == ['/early', '/wait']
+    server.application.released.set()
+    received = await client.read_to_end()
+    bodies = [part.split(b' ')[0] for part in received.split(b'\r\n\r\n')[1:]]
+    assert bodies == [b'/early', b'/wait', b'/next']
+
+
+async def test_connection_is_idle_while_a_request_runs(
+    server: BoundedServer,
+) -> None:
+    """The request is parsed after the response before it, and runs long."""
+    client = await server.connect()
+    long = '/wait?%s' % ('x' * (STEP_BYTES + 1000))
+    client.writer.write(get('/early') + get(long, LAST))
+    await asyncio.sleep(LIMITS.idle_time * 2)
+    server.application.released.set()
+    assert b'/wait 0 ' in await client.read_to_end()
+
+
 async def test_bodies_ahead_are_mixed_up(server: BoundedServer) -> None:
     """Bodies hold what looks like heads, and end within a read."""
     client = await server.connect()
