Await a body only of the request that is served

test_awaited_body_ends_a_request_before_it: a client sent a request, and behind it one whose body it sends once it is told to continue. The connection was aborted after idle_timeout_s, while the first was still served, and the answer to that was lost.

Cause: the time limit for a body counted for any body that was being read, also of a request that waits behind another one; the client is told to continue only when its turn comes. A body that stalls there lost the answer to the request that was read whole before it.

The limit counts from when the request with that body is served. The bytes that wait until then are bounded as before, and the request before it has its own deadline.

--- a/src/dogwoodmast/edge/bounded_connection.py
+++ b/src/dogwoodmast/edge/bounded_connection.py
@@ -211,7 +211,9 @@
         )
         stage = self._meter.stage
         phase = times.phase(
-            stage, is_served=self.is_served, is_paused=self.flow.read_paused
+            stage,
+            is_served=self.is_served,
+            is_paused=self.flow.read_paused or _is_whole(self._running),
         )
         limit = time_limit(phase, self._edge.limits)
         is_unread = isinstance(phase, Unread)
@@ -337,3 +339,8 @@
 
 def _queued_bytes(pipeline: Iterable[tuple[RequestResponseCycle, Any]]) -> int:
     return sum(len(queued.body) for queued, _app in pipeline)
+
+
+def _is_whole(request: RequestResponseCycle | None) -> bool:
+    """Tell whether a request was read whole; one behind it may not be."""
+    return request is None or not request.more_body
--- a/src/dogwoodmast/edge/connection_phase.py
+++ b/src/dogwoodmast/edge/connection_phase.py
@@ -49,10 +49,11 @@
 
 @attrs.frozen
 class ReadingBody:
-    """A body is incomplete, and so is its response."""
+    """The body of the request that is served is incomplete."""
 
     since: float
-    """Monotonic time of the latest bytes, in seconds."""
+    """Monotonic time of the latest bytes, or of the end of the response before
+    it, in seconds."""
 
 
 @attrs.frozen
--- a/src/dogwoodmast/edge/connection_times.py
+++ b/src/dogwoodmast/edge/connection_times.py
@@ -66,14 +66,15 @@
 
         :param stage: Part of a request that is being read.
         :param is_served: Whether a request is served, or waits for that.
-        :param is_paused: Whether no bytes are read now.
+        :param is_paused: Whether no bytes are read now, or none are awaited.
         :return: Phase.
         """
         if self._unread_since is not None:
             return Unread(self._unread_since)
         if is_served:
             is_awaited = stage is Stage.BODY and not is_paused
-            return ReadingBody(self.read_at) if is_awaited else Serving()
+            since = max(self.read_at, self.waits_since)
+            return ReadingBody(since) if is_awaited else Serving()
         if stage is Stage.BODY:
             return Discarding(self.waits_since)
         if self.head_since is not None:
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -275,6 +275,21 @@
     assert b'/wait 0 ' in await client.read_to_end()
 
 
+async def test_awaited_body_ends_a_request_before_it(
+    server: BoundedServer,
+) -> None:
+    """The client sends the body once it is told to continue."""
+    client = await server.connect()
+    lines = (b'Host: a', b'Content-Length: 3', b'Expect: 100-continue', LAST)
+    head = b'POST /body HTTP/1.1\r\n%b\r\n\r\n' % b'\r\n'.join(lines)
+    client.writer.write(get('/wait') + head)
+    await asyncio.sleep(LIMITS.idle_time * 2)
+    server.application.released.set()
+    assert b'/wait 0 ' in await client.read_until(b' 100 Continue\r\n\r\n')
+    client.writer.write(b'xyz')
+    assert b'/body 3 ' in await client.read_to_end()
+
+
 async def test_bodies_ahead_are_mixed_up(server: BoundedServer) -> None:
     """Bodies hold what looks like heads, and end within a read."""
     client = await server.connect()
