End no connection with an unsent response for a new one

test_response_is_lost_to_a_new_connection: when all connections were taken, the one that had waited longest was aborted for a new one although a part of its response was unsent, beside another that had sent all.

Cause: a connection waits for a request as soon as its response is complete, which may be before the client has taken it.

Among the first 32 that wait, those with nothing left to send are ended first. If there are none, the one that has waited longest is ended as before, so that clients that read nothing keep no others out.

--- a/src/dogwoodmast/edge/connection_table.py
+++ b/src/dogwoodmast/edge/connection_table.py
@@ -6,6 +6,7 @@
 import math
 import resource
 from collections import Counter
+from itertools import islice
 from typing import TYPE_CHECKING, Protocol
 
 import attrs
@@ -33,6 +34,8 @@
 open."""
 MAX_ACCEPTED = 2048
 """Largest number of connections that wait to be accepted."""
+MAX_CANDIDATES = 32
+"""Number of waiting connections that are looked at for a new one."""
 CHECK_INTERVAL = 1.0
 """Time between two checks of the connections' time limits, in seconds."""
 
@@ -40,6 +43,10 @@
 class Connection(Protocol):
     """Connection, as the table needs it."""
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether the client has yet to take bytes of a response."""
+
     def end(self, reason: EndReason) -> None:
         """End the connection.
 
@@ -99,12 +106,13 @@
         """Add a connection that has been opened.
 
         If there are too many, the one that has waited longest for a request is
-        ended, or the new one if all others are served.
+        ended, or the new one if all others are served.  The first
+        few that wait are passed over while they have a response left to send.
 
         :param connection: New connection, which waits for a request.
         """
         if len(self._open) >= self.connection_limit:
-            oldest = next(iter(self._waiting), connection)
+            oldest = self._longest_waiting() or connection
             self._end(oldest, EndReason.CONNECTIONS)
             if oldest is connection:
                 return
@@ -173,6 +181,12 @@
             connection.check_time(now)
         self._log()
 
+    def _longest_waiting(self) -> Connection | None:
+        oldest = next(iter(self._waiting), None)
+        candidates = islice(self._waiting, MAX_CANDIDATES)
+        quiet = (one for one in candidates if not one.has_unsent)
+        return next(quiet, oldest)
+
     def _end(self, connection: Connection, reason: EndReason) -> None:
         self.remove(connection)
         self.count(reason)
--- a/src/dogwoodmast/plain_connection.py
+++ b/src/dogwoodmast/plain_connection.py
@@ -22,6 +22,11 @@
 class PlainConnection(HttpToolsProtocol):
     """Connection that declines all offers of other protocols."""
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether the client has yet to take bytes of a response."""
+        return bool(self.transport.get_write_buffer_size())
+
     def __init__(self, *configuration: Any, **options: Any) -> None:
         """Create the protocol of a connection that is not made yet.
 
--- a/tests/test_connection_bounds.py
+++ b/tests/test_connection_bounds.py
@@ -49,6 +49,7 @@
 
     ended: list[EndReason] = attrs.field(factory=list)
     checked: list[float] = attrs.field(factory=list)
+    has_unsent: bool = False
 
     def end(self, reason: EndReason) -> None:
         """Record the reason."""
@@ -199,6 +200,29 @@
     ]
 
 
+def test_response_is_lost_to_a_new_connection(
+    table: ConnectionTable, connections: list[FakeConnection]
+) -> None:
+    """The connection that has waited longest has yet to send a part of it."""
+    connections[0].has_unsent = True
+    table.add(FakeConnection())
+    assert [one.ended for one in connections] == [
+        [],
+        [EndReason.CONNECTIONS],
+        [],
+    ]
+
+
+def test_unread_responses_keep_new_connections_out(
+    table: ConnectionTable, connections: list[FakeConnection]
+) -> None:
+    """All that wait have something left to send."""
+    for one in connections:
+        one.has_unsent = True
+    table.add(FakeConnection())
+    assert connections[0].ended == [EndReason.CONNECTIONS]
+
+
 def test_new_connection_is_taken_beyond_the_limit(
     table: ConnectionTable, connections: list[FakeConnection]
 ) -> None:
