Count small unread responses as held

test_small_unread_responses_are_not_counted: seven clients with narrow buffers left some 38 kB each unread, with a limit of 100 kB for all; none was ended for memory, they were ended as stalled later. It failed on both event loops.

Cause: unread bytes counted only while they made the sender wait, which is beyond 64 KiB a connection. 1,537 connections, half of 3,075 descriptors, may leave 100 MB so on a VM of 160 MB.

The check once a second counts what a connection has unsent while it is not served. What is written between two checks is not counted until the next one; what is unsent beside a request that is served still is not.

--- a/src/dogwoodmast/edge/bounded_connection.py
+++ b/src/dogwoodmast/edge/bounded_connection.py
@@ -93,6 +93,8 @@
         self._times = ConnectionTimes(self.loop.time())
         # Whether a response has ended and no other request is chosen yet.
         self._is_between_requests = False
+        # Whether the client had yet to take bytes at the latest check.
+        self._had_unsent = False
         # Whether the table counts what the connection holds.
         self._is_counted = False
 
@@ -203,6 +205,8 @@
         if self.flow.read_paused and has_hung_up(self.transport):
             self.transport.abort()
             return
+        self._had_unsent = self.has_unsent
+        self._update_memory()
         times = self._times
         times.check_unread(
             now,
@@ -330,7 +334,8 @@
             held += len(self._pending) + self._meter.memory
         if self.pipeline:
             held += _queued_bytes(self.pipeline)
-        if self.flow.write_paused and not self.is_served:
+        is_unread = self.flow.write_paused or self._had_unsent
+        if is_unread and not self.is_served:
             held += self.transport.get_write_buffer_size()
         if held > UNCOUNTED_BYTES or self._is_counted:
             self._is_counted = held > UNCOUNTED_BYTES
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -3,8 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
-from contextlib import AsyncExitStack, asynccontextmanager, suppress
+from contextlib import (
+    AsyncExitStack,
+    ExitStack,
+    asynccontextmanager,
+    suppress,
+)
 from typing import TYPE_CHECKING
 
 import anyio
@@ -13,6 +19,7 @@
 
 from direct_fleet import free_address
 from dogwoodmast._asgi import send_response
+from dogwoodmast.caller_connection import CallerConnection
 from dogwoodmast.edge.bounded_connection import STEP_BYTES, ServerEdge
 from dogwoodmast.edge.connection_limits import ConnectionLimits
 from dogwoodmast.edge.connection_phase import EndReason
@@ -41,6 +48,11 @@
 UNREAD_BYTES = 20_000_000
 """Size of a response that exceeds the buffers of sockets."""
 
+PAGE_BYTES = 50_000
+"""Size of a response below the mark at which a sender has to wait."""
+SOCKET_BYTES = 4096
+"""Size of the buffers of a socket that takes little."""
+
 
 @pytest.fixture(params=[False, True], ids=['asyncio', 'uvloop'])
 def anyio_backend(
@@ -85,6 +97,8 @@
         text = b'%b %d %b;' % (path.encode(), len(body), names)
         if path == '/large':
             text = bytes(UNREAD_BYTES)
+        elif path == '/page':
+            text = bytes(PAGE_BYTES)
         headers = [(b'content-length', b'%d' % len(text))]
         await send_response(send, 200, headers, text)
 
@@ -183,6 +197,15 @@
     return b'X: %b' % (b'y' * (size - used - overhead))
 
 
+def narrow_buffers(table: ConnectionTable) -> None:
+    """Let the sockets of all open connections take little at a time."""
+    for one in table._open:
+        assert isinstance(one, CallerConnection)
+        number = one.transport.get_extra_info('socket').fileno()
+        with socket.socket(fileno=os.dup(number)) as same:
+            same.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BYTES)
+
+
 LAST = b'Connection: close'
 CHUNKED = b'POST /chunked HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n'
 
@@ -394,6 +417,25 @@
     assert reasons & set(server.table.ended)
 
 
+async def test_small_unread_responses_are_not_counted(
+    server: BoundedServer,
+) -> None:
+    """None of them makes its sender wait."""
+    server.table.byte_limit = 2 * PAGE_BYTES
+    with ExitStack() as opened:
+        for _ in range(CONNECTIONS - 1):
+            client = opened.enter_context(socket.socket())
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BYTES)
+            client.connect(server.address)
+            await asyncio.sleep(SETTLING_TIME)
+            narrow_buffers(server.table)
+            client.sendall(get('/page'))
+        with anyio.fail_after(END_BOUND):
+            while not server.table.ended:
+                await asyncio.sleep(SETTLING_TIME)
+    assert server.table.ended[EndReason.MEMORY]
+
+
 async def test_new_connection_is_refused_while_others_wait(
     server: BoundedServer,
 ) -> None:
