--- a/src/dogwoodmast/edge/bounded_connection.py
+++ b/src/dogwoodmast/edge/bounded_connection.py
@@ -90,6 +90,10 @@
         # Memory of each request that is parsed and whose response is not sent.
         self._request_memory: deque[int] = deque()
         self._times = ConnectionTimes(self.loop.time())
+        # Whether a response has ended and no other request is chosen yet.
+        self._is_between_requests = False
+        # Whether the client had yet to take bytes at the latest check.
+        self._had_unsent = False
         # Whether the table counts what the connection holds.
         self._is_counted = False
 
@@ -178,7 +182,11 @@
         self._times.on_response(self.loop.time())
         if self._takes_more() and self.flow.has_hung_up():
             self.transport.abort()
+        # A request that is parsed here would start beside the one that waits.
+        self._is_between_requests = True
         super().on_response_complete()
+        self._is_between_requests = False
+        self.flow.resume_reading()
         if not self.is_served:
             self._edge.table.on_waiting(self)
         self._update_memory()
@@ -196,6 +204,8 @@
         if self._takes_more() and self.flow.has_hung_up():
             self.transport.abort()
             return
+        self._had_unsent = self.has_unsent
+        self._update_memory()
         times = self._times
         times.check_unread(
             now,
@@ -204,7 +214,9 @@
         )
         stage = self._meter.stage
         phase = times.phase(
-            stage, is_served=self.is_served, is_paused=self.flow.read_paused
+            stage,
+            is_served=self.is_served,
+            is_paused=self.flow.read_paused or _is_whole(self._running),
         )
         limit = time_limit(phase, self._edge.limits)
         is_unread = isinstance(phase, Unread)
@@ -267,6 +279,8 @@
         return not self.transport.is_closing()
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        # It may have been parsed after the timer was set.
+        self._unset_keepalive_if_required()
         self._running = cycle
         self._edge.table.on_served(self)
         super()._start_asgi_task(cycle, app)
@@ -295,6 +309,8 @@
 
     def _is_full(self) -> bool:
         """Tell whether as much has been parsed as may wait."""
+        if self._is_between_requests:
+            return True
         cycle = self.cycle
         if cycle is None or cycle.response_complete:
             return False
@@ -317,7 +333,8 @@
             held += len(self._pending) + self._meter.memory
         if self.pipeline:
             held += _queued_bytes(self.pipeline)
-        if self.flow.write_paused and not self.is_served:
+        is_unread = self.flow.write_paused or self._had_unsent
+        if is_unread and not self.is_served:
             held += self.transport.get_write_buffer_size()
         if held > UNCOUNTED_BYTES or self._is_counted:
             self._is_counted = held > UNCOUNTED_BYTES
@@ -326,3 +343,8 @@
 
 def _queued_bytes(pipeline: Iterable[tuple[RequestResponseCycle, Any]]) -> int:
     return sum(len(queued.body) for queued, _app in pipeline)
+
+
+def _is_whole(request: RequestResponseCycle | None) -> bool:
+    """Tell whether a request was read whole; one behind it may not be."""
+    return request is None or not request.more_body
