Free no keys by the address of a process that never held them

What was seen: two targets hold the same keys in a schedule of the simulation (test_new_coordinator_without_the_address_of_a_holder_shares_keys, both cases failed before: "key 0 is held by t2 and t1"). A target starts elsewhere, and again at its first address, where it takes the renewals of the process before. A coordinator takes over whose copy of the store has the start elsewhere only. It calls that address; another target has it by now, and the keys are freed.

Cause: a copy has only the latest listing of each name. _advance_restarted took a holder that the copy lacks for one at the address of its successor, so that the end of the successor counted as the end of whoever is at the holder's address.

Fix: the shard keeps the start of such a holder, and an answer of another target frees none of its keys; probes and the end of the hold do, as after any call without an answer. An accepted release still frees the keys: the successor has answered it, so that any other process of the name has ended, or starts in a term whose former coordinators are not confirmed. Records go on naming the holder, since the next coordinator would otherwise take the successor for it (second case).

Cost: if a restarted target's address is reused before a new coordinator, which has not seen the target before its restart, has its release answered, the keys wait for the hold instead of being free at once.

Runs: both cases pass; test_grant_state_machine, test_shard_planner, test_evacuation_of_keys, test_record_of_holds, test_restored_holders, test_target_control and test_decoder_fuzz pass in 1 of 1 runs.

--- a/src/dogwoodmast/direct/grant_state_machine.py
+++ b/src/dogwoodmast/direct/grant_state_machine.py
@@ -23,7 +23,8 @@
 - A listing says that a holder has ended only if it shows a later start.  The
   process that it shows may hold the keys instead, and has to release them.  If
   it listens elsewhere, so may a still later one at the holder's address, unless
-  that refuses a connection.
+  that refuses a connection.  If the holder's address is not known, another
+  target at that of the later process does not free the keys.
 
 A listing that is older than the term tells nothing of a holder that it lacks:
 the holder may have been listed since, and keeps its keys.
@@ -364,7 +365,7 @@
             case GrantAnswer.STALE_FENCE:
                 # A coordinator of a later epoch has granted the keys.
                 shard.next_call_at = now + self.hold / RENEWALS_PER_HOLD
-            case GrantAnswer.WRONG_TARGET:
+            case GrantAnswer.WRONG_TARGET if not shard.holder_born:
                 self._avoided_until[shard.target] = now + AVOIDANCE_PERIOD
                 self._free(shard, FreedBecause.ADDRESS_REUSED)
             case GrantAnswer.ABSENT if shard.is_holder_replaced:
@@ -391,7 +392,7 @@
         match answer:
             case GrantAnswer.WITHHELD:
                 shard.next_call_at = now + CONFIRMATION_RETRY_INTERVAL
-            case GrantAnswer.WRONG_TARGET:
+            case GrantAnswer.WRONG_TARGET if not shard.holder_born:
                 self._free(shard, FreedBecause.ADDRESS_REUSED)
             case GrantAnswer.ABSENT if shard.is_holder_replaced:
                 self._free(shard, FreedBecause.RESTARTED)
@@ -501,6 +502,8 @@
         if ended is not None and ended.address != successor.address:
             shard.is_holder_replaced = True
         else:
+            if ended is None:
+                shard.holder_born = shard.born
             shard.born = successor.born
         return self._start_move(shard, now)
 
@@ -570,6 +573,7 @@
         shard.may_finish_work = False
         shard.is_granted_again = False
         shard.is_holder_replaced = False
+        shard.holder_born = 0
         shard.handover = ''
         self._set_open(shard, is_open=False)
 
--- a/src/dogwoodmast/direct/shard.py
+++ b/src/dogwoodmast/direct/shard.py
@@ -65,6 +65,9 @@
     is_holder_replaced: bool = False
     """Whether a later process of the target is listed at another address, so
     that the holder has ended; yet another one may listen at its address."""
+    holder_born: int = 0
+    """Start time of the holder if its address is not known, so that calls go to
+    a later process of the target; 0 otherwise."""
     may_finish_work: bool = False
     """Whether requests from before a release that had no answer may still run
     at the target; a later release is no sign of their end."""
@@ -95,7 +98,7 @@
             self.first,
             self.last,
             self.target,
-            self.born,
+            self.holder_born or self.born,
             self.fence,
             self.is_open,
         )
--- a/tests/grant_simulation.py
+++ b/tests/grant_simulation.py
@@ -365,6 +365,16 @@
         for term in self.terms:
             term.old_listing = None
 
+    def write_record(self) -> None:
+        """Write the assignments of the current coordinator to the store."""
+        machine = self.current_term.machine
+        self.record = ShardRecord(
+            SERVICE,
+            machine.epoch,
+            1,
+            tuple(one.assignment for one in machine.shards),
+        )
+
     def step(self, choose: Callable[[list[Target]], Target]) -> None:
         """Let every coordinator that may act make the calls that are due.
 
@@ -601,10 +611,5 @@
             return
         for shard in free:
             machine.assign(shard, choose(usable))
-        self.record = ShardRecord(
-            SERVICE,
-            machine.epoch,
-            1,
-            tuple(one.assignment for one in machine.shards),
-        )
+        self.write_record()
         machine.on_recorded(free, self.now)
--- a/tests/test_grant_state_machine.py
+++ b/tests/test_grant_state_machine.py
@@ -946,6 +946,41 @@
         simulation.check_exclusive_holds()
 
 
+@pytest.mark.parametrize('is_replaced', [False, True])
+def test_new_coordinator_without_the_address_of_a_holder_shares_keys(
+    is_replaced: bool,
+) -> None:
+    """Its copy has only the start elsewhere, whose address is then reused.
+
+    Guards against taking the end of that process for the end of the holder.
+    """
+    simulation = make_started_simulation()
+    first = simulation.listed['t1'].address
+    simulation.start_target('t2')
+    simulation.restart_unlisted('t1', simulation.new_address())
+    simulation.restart_unlisted('t1', first)
+    simulation.now += HOLD / 2
+    exchange_calls(simulation)
+    simulation.show_listing('t1', 1)
+    listed = dict(simulation.listed)
+    listing = Listing(listed, tuple(listed.values()))
+    simulation.start_term(listing)
+    if is_replaced:
+        exchange_calls(simulation)
+        simulation.write_record()
+        simulation.start_term(listing)
+    for _ in range(5):
+        exchange_calls(simulation)
+        simulation.check_exclusive_holds()
+    simulation.now = max(
+        one.held_until for one in simulation.current_term.machine.shards
+    )
+    for _ in range(2):
+        exchange_calls(simulation)
+        simulation.check_exclusive_holds()
+    assert holders_of(simulation) == {'t2'}
+
+
 def test_keys_of_a_target_that_starts_elsewhere_are_free_at_once() -> None:
     """Nothing listens at its earlier address, so no hold is waited for."""
     simulation = make_started_simulation()
