Show that an assignment has to be stored before it is granted

A schedule now lets a coordinator take over while the assignments of the term before are being written. A mutant that grants at once gives key 0 two holders; the state machine gives it one.

--- a/tests/grant_simulation.py
+++ b/tests/grant_simulation.py
@@ -189,6 +189,8 @@
     """Whether a coordinator confirms its term on each new connection."""
     is_store_silent: bool = False
     """Whether the store confirms no term, since it does not answer."""
+    is_record_unwritten: bool = False
+    """Whether the store takes no assignments that are to be written."""
     now: float = 100.0
     """Simulated time in seconds."""
     epoch: int = 0
@@ -611,5 +613,7 @@
             return
         for shard in free:
             machine.assign(shard, choose(usable))
+        if self.is_record_unwritten:
+            return
         self.write_record()
         machine.on_recorded(free, self.now)
--- a/tests/test_grant_state_machine.py
+++ b/tests/test_grant_state_machine.py
@@ -49,6 +49,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from dogwoodmast.direct.catalog import Target
+
 NAMES = ('t1', 't2', 't3')
 """Names of the targets that a schedule may start."""
 SEARCH_SETTINGS = settings(
@@ -387,6 +389,19 @@
         super().restore(record, now, -self.max_hold_time)
 
 
+class MachineGrantingUnrecorded(GrantStateMachine):
+    """Mutant that grants keys before their assignment is stored."""
+
+    def assign(self, shard: Shard, target: Target) -> None:
+        """Treat the assignment as stored.
+
+        :param shard: Free shard.
+        :param target: Target that is to hold it.
+        """
+        super().assign(shard, target)
+        shard.phase = Phase.OWNED
+
+
 MUTANTS = (
     MachineIgnoringHolds,
     MachineIgnoringDelayedGrants,
@@ -600,6 +615,36 @@
         play(broken, schedule)
 
 
+def test_assignment_that_is_not_stored_gives_keys_twice() -> None:
+    """A coordinator that takes over knows of no grant but by the record."""
+    take_over_before_the_record(GrantStateMachine)
+    with pytest.raises(AssertionError, match='key 0'):
+        take_over_before_the_record(MachineGrantingUnrecorded)
+
+
+def take_over_before_the_record(
+    machine_class: type[GrantStateMachine],
+) -> None:
+    """Take over while the first assignments are being written.
+
+    :param machine_class: State machine under test.
+    :raises AssertionError: If a key has two holders.
+    """
+    simulation = GrantSimulation(machine_class)
+    simulation.start_target('t1')
+    simulation.start_term()
+    simulation.is_record_unwritten = True
+    for _ in range(2):
+        exchange_calls(simulation)
+    simulation.is_record_unwritten = False
+    simulation.start_target('t2')
+    simulation.start_term()
+    for _ in range(2):
+        exchange_calls(simulation)
+        simulation.check_exclusive_holds()
+    assert holders_of(simulation) == {'t2'}
+
+
 def make_started_simulation(
     machine_class: type[GrantStateMachine] = GrantStateMachine,
 ) -> GrantSimulation:
