Tell the age of the copy by which keys were judged

A report of two holders could not be told from one of a copy that is too old: no line of the log said how old the copy of the store was. KEYS_FREED and KEYS_MOVING have it now (copy_age, as of the latest run of the work loop). No decision changed.

--- a/src/dogwoodmast/direct/coordinator.py
+++ b/src/dogwoodmast/direct/coordinator.py
@@ -265,6 +265,7 @@
                 targets_of_service(known, service),
                 is_current=is_current,
                 longest_work=table.longest_timeout(service) if table else 0,
+                copy_age=self._dependencies.directory.age(now),
             )
 
     def _make_shard_coordinator(
--- a/src/dogwoodmast/direct/shard_coordinator.py
+++ b/src/dogwoodmast/direct/shard_coordinator.py
@@ -116,6 +116,7 @@
         self._planned_at = float('-inf')
         self._last_joined_at = float('inf')
         self._holds = HoldBound(state_machine.hold)
+        self._copy_age: float = 0
         self._changed = anyio.Event()
 
     @property
@@ -194,6 +195,7 @@
         *,
         is_current: bool = True,
         longest_work: float = 0,
+        copy_age: float = 0,
     ) -> None:
         """Update the targets of the service.
 
@@ -202,7 +204,10 @@
         :param is_current: Whether the listing is no older than the term.
         :param longest_work: Longest time for which a request may run at a
             target, in seconds.
+        :param copy_age: Age of the copy of the store that lists them, in
+            seconds.
         """
+        self._copy_age = copy_age
         self._state_machine.longest_work = longest_work
         known = set(self._state_machine.targets)
         if {target.name for target in targets} - known:
@@ -319,6 +324,7 @@
                 last=shard.last,
                 source=shard.target,
                 goal=shard.destination,
+                copy_age=round(self._copy_age, 3),
             )
 
     def _capacities(self) -> dict[str, float]:
@@ -373,6 +379,7 @@
                 target=freed.target,
                 fence=freed.fence,
                 reason=freed.reason.value,
+                copy_age=round(self._copy_age, 3),
             )
         if self._log_changes(self._state_machine.drain_changed()):
             changed = self._changed
