Let copies of the simulation keep the latest listing of each name only

A copy of the store has one entry for each name, but the simulation gave new coordinators all listings that there ever were. No schedule could thus reach one whose copy lacks the holder that the record names, which has been a fault.

--- a/tests/grant_simulation.py
+++ b/tests/grant_simulation.py
@@ -384,7 +384,9 @@
 
         :param choose: Chooses the target of a shard among the usable ones.
         """
-        current = Listing(dict(self.listed), tuple(self.known))
+        # A copy has one entry for each name.
+        known = {one.name: one for one in self.known}
+        current = Listing(dict(self.listed), tuple(known.values()))
         self.listings.append(current)
         for term in self.terms:
             if self.now >= term.valid_until:
