--- a/tests/grant_simulation.py
+++ b/tests/grant_simulation.py
@@ -189,6 +189,8 @@
     """Whether a coordinator confirms its term on each new connection."""
     is_store_silent: bool = False
     """Whether the store confirms no term, since it does not answer."""
+    is_record_unwritten: bool = False
+    """Whether the store takes no assignments that are to be written."""
     now: float = 100.0
     """Simulated time in seconds."""
     epoch: int = 0
@@ -365,6 +367,16 @@
         for term in self.terms:
             term.old_listing = None
 
+    def write_record(self) -> None:
+        """Write the assignments of the current coordinator to the store."""
+        machine = self.current_term.machine
+        self.record = ShardRecord(
+            SERVICE,
+            machine.epoch,
+            1,
+            tuple(one.assignment for one in machine.shards),
+        )
+
     def step(self, choose: Callable[[list[Target]], Target]) -> None:
         """Let every coordinator that may act make the calls that are due.
 
@@ -372,7 +384,9 @@
 
         :param choose: Chooses the target of a shard among the usable ones.
         """
-        current = Listing(dict(self.listed), tuple(self.known))
+        # A copy has one entry for each name.
+        known = {one.name: one for one in self.known}
+        current = Listing(dict(self.listed), tuple(known.values()))
         self.listings.append(current)
         for term in self.terms:
             if self.now >= term.valid_until:
@@ -601,10 +615,7 @@
             return
         for shard in free:
             machine.assign(shard, choose(usable))
-        self.record = ShardRecord(
-            SERVICE,
-            machine.epoch,
-            1,
-            tuple(one.assignment for one in machine.shards),
-        )
+        if self.is_record_unwritten:
+            return
+        self.write_record()
         machine.on_recorded(free, self.now)
--- a/tests/test_grant_state_machine.py
+++ b/tests/test_grant_state_machine.py
@@ -49,6 +49,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from dogwoodmast.direct.catalog import Target
+
 NAMES = ('t1', 't2', 't3')
 """Names of the targets that a schedule may start."""
 SEARCH_SETTINGS = settings(
@@ -387,6 +389,19 @@
         super().restore(record, now, -self.max_hold_time)
 
 
+class MachineGrantingUnrecorded(GrantStateMachine):
+    """Mutant that grants keys before their assignment is stored."""
+
+    def assign(self, shard: Shard, target: Target) -> None:
+        """Treat the assignment as stored.
+
+        :param shard: Free shard.
+        :param target: Target that is to hold it.
+        """
+        super().assign(shard, target)
+        shard.phase = Phase.OWNED
+
+
 MUTANTS = (
     MachineIgnoringHolds,
     MachineIgnoringDelayedGrants,
@@ -600,6 +615,36 @@
         play(broken, schedule)
 
 
+def test_assignment_that_is_not_stored_gives_keys_twice() -> None:
+    """A coordinator that takes over knows of no grant but by the record."""
+    take_over_before_the_record(GrantStateMachine)
+    with pytest.raises(AssertionError, match='key 0'):
+        take_over_before_the_record(MachineGrantingUnrecorded)
+
+
+def take_over_before_the_record(
+    machine_class: type[GrantStateMachine],
+) -> None:
+    """Take over while the first assignments are being written.
+
+    :param machine_class: State machine under test.
+    :raises AssertionError: If a key has two holders.
+    """
+    simulation = GrantSimulation(machine_class)
+    simulation.start_target('t1')
+    simulation.start_term()
+    simulation.is_record_unwritten = True
+    for _ in range(2):
+        exchange_calls(simulation)
+    simulation.is_record_unwritten = False
+    simulation.start_target('t2')
+    simulation.start_term()
+    for _ in range(2):
+        exchange_calls(simulation)
+        simulation.check_exclusive_holds()
+    assert holders_of(simulation) == {'t2'}
+
+
 def make_started_simulation(
     machine_class: type[GrantStateMachine] = GrantStateMachine,
 ) -> GrantSimulation:
@@ -946,6 +991,41 @@
         simulation.check_exclusive_holds()
 
 
+@pytest.mark.parametrize('is_replaced', [False, True])
+def test_new_coordinator_without_the_address_of_a_holder_shares_keys(
+    is_replaced: bool,
+) -> None:
+    """Its copy has only the start elsewhere, whose address is then reused.
+
+    Guards against taking the end of that process for the end of the holder.
+    """
+    simulation = make_started_simulation()
+    first = simulation.listed['t1'].address
+    simulation.start_target('t2')
+    simulation.restart_unlisted('t1', simulation.new_address())
+    simulation.restart_unlisted('t1', first)
+    simulation.now += HOLD / 2
+    exchange_calls(simulation)
+    simulation.show_listing('t1', 1)
+    listed = dict(simulation.listed)
+    listing = Listing(listed, tuple(listed.values()))
+    simulation.start_term(listing)
+    if is_replaced:
+        exchange_calls(simulation)
+        simulation.write_record()
+        simulation.start_term(listing)
+    for _ in range(5):
+        exchange_calls(simulation)
+        simulation.check_exclusive_holds()
+    simulation.now = max(
+        one.held_until for one in simulation.current_term.machine.shards
+    )
+    for _ in range(2):
+        exchange_calls(simulation)
+        simulation.check_exclusive_holds()
+    assert holders_of(simulation) == {'t2'}
+
+
 def test_keys_of_a_target_that_starts_elsewhere_are_free_at_once() -> None:
     """Nothing listens at its earlier address, so no hold is waited for."""
     simulation = make_started_simulation()
