Show links and early responses that bounds leave out

The earlier cases at that address end at their first four bytes, which are no length.

A steady upload whose response is complete is cut after header_timeout_s. The client of test_steady_upload_behind_its_response_is_cut, which reads behind its upload, got a reset in place of the response.

--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -126,6 +126,7 @@
     [
         pytest.param(Flood(BARE), id='bare requests'),
         pytest.param(Flood(b'a:\r\n', GET), id='empty headers'),
+        pytest.param(Flood(LONG, b'\x00\xff\xff\xff'), id='long frame'),
     ],
 )
 @pytest.mark.parametrize('name', ['readiness', 'metrics', 'relay', 'links'])
@@ -155,3 +156,11 @@
     """Descriptors are needed for targets, the store and other VMs too."""
     crowd = Crowd(vm.callers, trickle, WAITING_CLIENTS, WAITING_TIME)
     vm.check(await vm.bear(crowd))
+
+
+async def test_more_links_than_descriptors_keep_others_out(
+    vm: SmallVm,
+) -> None:
+    """Other VMs open them, by a fault, and say nothing."""
+    crowd = Crowd(vm.others['links'], Trickle(), WAITING_CLIENTS, WAITING_TIME)
+    vm.check(await vm.bear(crowd))
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -453,6 +453,21 @@
     assert b'/wait/1' in await served.read_to_end()
 
 
+async def test_steady_upload_behind_its_response_is_cut(
+    server: BoundedServer,
+) -> None:
+    """It goes on for longer than each of the limits on times."""
+    client = await server.connect()
+    length = b'Content-Length: 30'
+    client.writer.write(b'POST /early HTTP/1.1\r\n%b\r\n\r\n' % length)
+    for _ in range(30):
+        await asyncio.sleep(LIMITS.idle_time / 20)
+        client.writer.write(b'x')
+    assert b'/early 0 ' in await client.read_until(b';')
+    client.writer.write(get('/next', LAST))
+    assert b'/next 0 ' in await client.read_to_end()
+
+
 async def test_body_behind_its_response_is_read_without_end(
     server: BoundedServer,
 ) -> None:
