--- /dev/null
+++ b/review/trial2/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that the scripts of the second review share."""
