--- a/review/trial2/ports.py
+++ b/review/trial2/ports.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import socket
-from contextlib import ExitStack
-
 from dogwoodmast.address import Address
+from port_pool import HOST, PortPool
 
-HOST = '127.0.0.1'
+_POOL = PortPool()
+"""Ports that outgoing connections and other test processes don't take."""
 
 
 def free_addresses(count: int) -> list[Address]:
@@ -16,9 +15,4 @@
     :param count: Number of addresses.
     :return: Different addresses that could be bound.
     """
-    with ExitStack() as stack:
-        bound = [
-            stack.enter_context(socket.create_server((HOST, 0)))
-            for _ in range(count)
-        ]
-        return [Address(HOST, one.getsockname()[1]) for one in bound]
+    return [Address(HOST, port) for port in _POOL.find(count)]
